--- /dev/null
+++ b/src/logic.rs
@@ -0,0 +1,684 @@
+//! All decisions of a relay, for one instance. How to call it: make a `Relay` from its site facts and
+//! seed, then hand `step` every input in order of arrival with the clock of its batch; carry out the
+//! effects it appends, in order. Inputs, effects and site facts are defined in `types.rs`; the design
+//! page is `docs/design.md`. Nothing here reads a clock, and instances share nothing.
+
+use crate::types::*;
+use std::collections::BTreeMap;
+
+/// Where a session stands. `Weighed` lasts only within a step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Weighed,
+    Held,
+    Dialling,
+    Open,
+    Leaving,
+    Over,
+}
+
+/// What happened to a session, told from outside or found by weighing it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Sign {
+    Enter,
+    Wait,
+    Shut,
+    Stuck,
+    Room,
+    Stands,
+    Fell,
+    Settled,
+    Left,
+    Hot,
+}
+
+#[derive(Clone, Copy)]
+enum Act {
+    Weigh,
+    Dial,
+    Hold,
+    Refuse,
+    TearDown,
+    Move,
+    Nothing,
+}
+
+/// State, input, next state, effect. What is not listed changes nothing: late and unknown inputs fall here.
+const TABLE: &[(State, Sign, State, Act)] = &[
+    (State::Weighed, Sign::Enter, State::Dialling, Act::Dial),
+    (State::Weighed, Sign::Wait, State::Held, Act::Hold),
+    (State::Weighed, Sign::Shut, State::Over, Act::Refuse),
+    (State::Weighed, Sign::Stuck, State::Over, Act::TearDown),
+    (State::Weighed, Sign::Room, State::Weighed, Act::Weigh),
+    (State::Held, Sign::Room, State::Weighed, Act::Weigh),
+    (State::Held, Sign::Left, State::Over, Act::Nothing),
+    (State::Dialling, Sign::Stands, State::Open, Act::Nothing),
+    (State::Dialling, Sign::Fell, State::Weighed, Act::Weigh),
+    (State::Dialling, Sign::Settled, State::Over, Act::Nothing),
+    (State::Dialling, Sign::Left, State::Over, Act::Nothing),
+    (State::Open, Sign::Settled, State::Over, Act::Nothing),
+    (State::Open, Sign::Left, State::Over, Act::Nothing),
+    (State::Open, Sign::Hot, State::Leaving, Act::Move),
+    (State::Leaving, Sign::Settled, State::Over, Act::Nothing),
+    (State::Leaving, Sign::Left, State::Over, Act::Nothing),
+];
+
+const SECOND: Micros = 1_000_000;
+
+/// Sums over the last moments, in fixed buckets of time that are used again in a ring.
+struct Ring {
+    width: Micros,
+    last: u64,
+    slots: [f32; Ring::SLOTS],
+}
+
+impl Ring {
+    const SLOTS: usize = 16;
+
+    fn new(width: Micros) -> Ring {
+        Ring { width, last: 0, slots: [0.0; Ring::SLOTS] }
+    }
+
+    fn add(&mut self, now: Micros, x: f32) {
+        let bucket = now / self.width;
+        for b in self.last.max(bucket.saturating_sub(Ring::SLOTS as u64)) + 1..=bucket {
+            self.slots[b as usize % Ring::SLOTS] = 0.0;
+        }
+        self.last = self.last.max(bucket);
+        self.slots[bucket as usize % Ring::SLOTS] += x;
+    }
+
+    /// The sum since `back` ago, to the bucket, and no further back than the ring reaches.
+    fn sum(&self, now: Micros, back: Micros) -> f64 {
+        let bucket = now / self.width;
+        let oldest =
+            (now.saturating_sub(back) / self.width).max((bucket + 1).saturating_sub(Ring::SLOTS as u64));
+        (oldest..=self.last).map(|b| f64::from(self.slots[b as usize % Ring::SLOTS])).sum()
+    }
+}
+
+struct Server {
+    entry: Entry,
+    listed: bool,
+    load: f64,
+    piled: f64,
+    heard: Option<Micros>,
+    heard_weight: f64,
+    misses: u32,
+    dark_since: Micros,
+    /// When a restart was last seen, by the list or by a silence that ended; 0 is long ago.
+    restarted: Micros,
+    cold_next: Micros,
+    own: u32,
+    net: Ring,
+    dials: Ring,
+    faults: Ring,
+}
+
+struct Sess {
+    asked: Asked,
+    due: Micros,
+    state: State,
+    server: ServerId,
+    dials: u32,
+    dialled: Micros,
+    tried: Vec<ServerId>,
+    /// The first dial that may have run, and where.
+    ran: Option<(Micros, u8, u16)>,
+    held_until: Option<Micros>,
+    load: f64,
+}
+
+/// The fleet as HEU sees it.
+struct Gauge {
+    c: f64,
+    x_busy: f64,
+    x_cong: f64,
+    /// One own session's mean part of a server.
+    step: f64,
+}
+
+pub struct Relay {
+    site: SiteFacts,
+    now: Micros,
+    rng: oorandom::Rand64,
+    servers: BTreeMap<ServerId, Server>,
+    sessions: BTreeMap<SessId, Sess>,
+    held: Vec<SessId>,
+    groups: BTreeMap<(ServerId, u64), u32>,
+    by_tenant: Vec<u32>,
+    n: u32,
+    firsts: Ring,
+    started: Option<Micros>,
+    probe_cursor: ServerId,
+    watch_fails: u32,
+    high_from: f64,
+    message_target: f64,
+}
+
+const LABEL_PROBE: u32 = 0;
+const LABEL_WATCH: u32 = 1;
+const LABEL_HELD: u32 = 2;
+
+impl Relay {
+    pub fn new(site: SiteFacts, seed: u64) -> Relay {
+        let utilities = site.listeners.iter().map(|l| l.utility);
+        let (low, high) = utilities.fold((f64::MAX, 0.0f64), |(a, b), u| (a.min(u), b.max(u)));
+        let message_target = site.listeners.iter().map(|l| l.message_target).min().unwrap_or(SECOND);
+        Relay {
+            by_tenant: vec![0; site.tenants.len()],
+            // The set utility from which a listener counts as high: halfway, so that any two are told apart.
+            high_from: (low + high) / 2.0,
+            message_target: message_target as f64 / SECOND as f64,
+            site,
+            now: 0,
+            rng: oorandom::Rand64::new(u128::from(seed)),
+            servers: BTreeMap::new(),
+            sessions: BTreeMap::new(),
+            held: Vec::new(),
+            groups: BTreeMap::new(),
+            n: 0,
+            firsts: Ring::new(SECOND),
+            started: None,
+            probe_cursor: 0,
+            watch_fails: 0,
+        }
+    }
+
+    pub fn step(&mut self, now: Micros, input: Input, out: &mut Vec<Effect>) {
+        self.now = now;
+        if self.started.is_none() {
+            self.started = Some(now);
+            if self.site.must_watch {
+                out.push(Effect::Watch);
+            }
+            if self.site.may_probe {
+                out.push(Effect::Alarm { after: 1, label: LABEL_PROBE });
+            }
+        }
+        match input {
+            Input::List { kind, entries } => self.list(kind, entries, out),
+            Input::Asked { sess, asked } => {
+                if !asked.returned {
+                    self.firsts.add(now, 1.0);
+                }
+                let listener = asked.listener.min(self.site.listeners.len() - 1);
+                self.sessions.insert(sess, self.fresh(Asked { listener, ..asked }, State::Weighed));
+                self.play(sess, Sign::Room, out);
+            }
+            Input::AlreadyOpen { sess, server, asked } => {
+                self.sessions.insert(sess, Sess { server, dials: 1, ..self.fresh(asked, State::Open) });
+                self.count(sess, 1);
+            }
+            Input::Stands { sess, dial } => {
+                if self.current(sess, dial) {
+                    self.play(sess, Sign::Stands, out);
+                }
+            }
+            Input::Load { sess, load } => {
+                if let Some(s) = self.sessions.get_mut(&sess) {
+                    s.load = load;
+                }
+            }
+            Input::DialEnded { sess, dial, end, settled, .. } => {
+                if self.current(sess, dial) {
+                    self.dial_ended(sess, end, settled, out);
+                }
+            }
+            Input::Left { sess } => self.play(sess, Sign::Left, out),
+            Input::Probed { server, ok, report } => self.probed(server, ok, report, out),
+            Input::Alarm { label: LABEL_PROBE } => self.beat(out),
+            Input::Alarm { label: LABEL_WATCH } => out.push(Effect::Watch),
+            Input::Alarm { .. } => self.room(out),
+        }
+    }
+
+    fn fresh(&self, asked: Asked, state: State) -> Sess {
+        Sess {
+            asked,
+            due: self.now + asked.left,
+            state,
+            server: 0,
+            dials: 0,
+            dialled: self.now,
+            tried: Vec::new(),
+            ran: None,
+            held_until: None,
+            load: 0.0,
+        }
+    }
+
+    fn current(&self, sess: SessId, dial: u32) -> bool {
+        self.sessions.get(&sess).is_some_and(|s| s.dials == dial + 1)
+    }
+
+    /// The loop that reads the table: each sign leads to an effect, which may find the next sign.
+    fn play(&mut self, sess: SessId, sign: Sign, out: &mut Vec<Effect>) {
+        let mut next = Some(sign);
+        while let Some(sign) = next.take() {
+            let Some(s) = self.sessions.get_mut(&sess) else { return };
+            let Some(&(from, _, to, act)) = TABLE.iter().find(|row| (row.0, row.1) == (s.state, sign)) else {
+                return;
+            };
+            s.state = to;
+            if matches!(from, State::Dialling | State::Open | State::Leaving)
+                && !matches!(to, State::Dialling | State::Open | State::Leaving)
+            {
+                self.count(sess, -1);
+            }
+            match act {
+                Act::Weigh => next = Some(self.weigh(sess)),
+                Act::Dial => self.dial(sess, out),
+                Act::Hold => self.hold(sess, out),
+                Act::Refuse => out.push(Effect::Refuse { sess, retry_after: self.retry_after() }),
+                Act::TearDown => out.push(Effect::TearDown { sess }),
+                Act::Move => out.push(Effect::Move { sess }),
+                Act::Nothing => {}
+            }
+            if to == State::Over {
+                self.sessions.remove(&sess);
+            }
+        }
+    }
+
+    /// Books a session on its server, or off it: from the dial on, so that what is under way counts.
+    fn count(&mut self, sess: SessId, by: i32) {
+        let s = &self.sessions[&sess];
+        self.n = self.n.saturating_add_signed(by);
+        if let Some(t) = self.by_tenant.get_mut(s.asked.tenant) {
+            *t = t.saturating_add_signed(by);
+        }
+        if s.asked.group != 0 {
+            let held = self.groups.entry((s.server, s.asked.group)).or_insert(0);
+            *held = held.saturating_add_signed(by);
+            if *held == 0 {
+                self.groups.remove(&(s.server, s.asked.group));
+            }
+        }
+        if let Some(server) = self.servers.get_mut(&s.server) {
+            server.own = server.own.saturating_add_signed(by);
+            server.net.add(self.now, by as f32);
+        }
+    }
+
+    /// What a session may expect now: a dial, a short wait, or its final answer at once.
+    fn weigh(&mut self, sess: SessId) -> Sign {
+        let s = &self.sessions[&sess];
+        let repeat = self.site.listeners[s.asked.listener].repeat;
+        // Rule 2: a refusal says that trying again is harmless, which is so only where nothing ran unknown.
+        let refusable = match repeat {
+            Repeat::Repeatable => true,
+            Repeat::Referenced { within, .. } => s.ran.is_none() || within == Within::All,
+            Repeat::OnceOnly => s.ran.is_none(),
+        };
+        let give_up = if refusable { Sign::Shut } else { Sign::Stuck };
+        let gauge = self.gauge();
+        if self.now >= s.due
+            || s.dials >= self.site.most_dials
+            || (s.dials == 0 && !self.admits(&s.asked, &gauge))
+        {
+            return give_up;
+        }
+        let waited = s.held_until.is_some_and(|until| self.now >= until);
+        match self.place(sess, &gauge) {
+            Some((tier, _)) if tier > 0 && !waited && self.servers.values().any(|v| v.unheard()) => {
+                Sign::Wait
+            }
+            Some((_, server)) => {
+                self.sessions.get_mut(&sess).expect("weighed above").server = server;
+                Sign::Enter
+            }
+            None if waited => give_up,
+            None => Sign::Wait,
+        }
+    }
+
+    /// HEU. A returned session counts as high: its interruption has been paid for already.
+    fn admits(&self, asked: &Asked, g: &Gauge) -> bool {
+        // Part of the fleet kept for high utility.
+        const K_RESERVED: f64 = 0.15;
+        let c_id = f64::from(self.site.max_open);
+        let (t_servers, t_id) = (g.c * (1.0 - K_RESERVED), c_id * (1.0 - K_RESERVED));
+        let n = f64::from(self.n);
+        let high = asked.returned || self.site.listeners[asked.listener].utility >= self.high_from;
+        (n < t_id && g.x_busy < t_servers - g.x_cong)
+            || (high && n < c_id && g.x_busy < g.c - g.x_cong)
+            || g.c == 0.0
+    }
+
+    fn gauge(&self) -> Gauge {
+        let mut g = Gauge { c: 0.0, x_busy: 0.0, x_cong: 0.0, step: 0.0 };
+        for v in self.servers.values().filter(|v| v.ready() && v.misses == 0 && v.heard.is_some()) {
+            g.c += 1.0;
+            g.x_busy += v.load.min(1.0);
+            g.x_cong += f64::from(u8::from(self.congested(v)));
+        }
+        // Before anything is known a session counts as a fiftieth of a server.
+        let open = f64::from(self.n * self.site.relays);
+        g.step = (g.x_busy / open.max(1.0)).clamp(0.002, 0.05);
+        g
+    }
+
+    fn congested(&self, v: &Server) -> bool {
+        const ALPHA_CONG: f64 = 0.5;
+        v.piled > self.message_target * (1.0 + ALPHA_CONG)
+    }
+
+    /// The probed load, brought up to now by what this relay has placed since, times the relays that do alike.
+    fn load_now(&self, v: &Server, g: &Gauge) -> f64 {
+        // Reports are refreshed and travel for about this long before an answer carries them.
+        const LAG: Micros = SECOND;
+        let age = self.now - v.heard.unwrap_or(self.now) + LAG;
+        let since = v.net.sum(self.now, age) * f64::from(self.site.relays);
+        let live = if self.site.live_weights && v.entry.weight > 0.0 {
+            v.heard_weight / v.entry.weight
+        } else {
+            1.0
+        };
+        (v.load * live + v.piled + g.step * since).max(0.0)
+    }
+
+    /// The lowest load over capacity, told as what one more session there costs: the part of service that
+    /// it loses itself and that others lose. A group's first session on a server weighs more; so does a
+    /// crossing. Without groups and prices the order is that of load alone.
+    fn cost(&self, v: &Server, asked: &Asked, load: f64) -> f64 {
+        // How sharply service falls as a server fills: the messages that fit into their target.
+        const SHARP: f64 = 6.0;
+        // A group's cost on a server, in sessions.
+        const GROUP: f64 = 2.0;
+        let lost = (-SHARP * (1.0 - load)).exp();
+        let first =
+            self.site.groups && asked.group != 0 && !self.groups.contains_key(&(v.entry.server, asked.group));
+        // Relays that share nothing meet at the same servers: those that a hash of both ids ranks first.
+        let rank = mix(asked.group ^ (u64::from(v.entry.server) << 32)) as f64 / u64::MAX as f64;
+        let weight = if first { 1.0 + GROUP * (0.5 + rank) } else { 1.0 };
+        let crossing = if v.entry.zone == self.site.zone { 0.0 } else { self.site.price_crossing };
+        lost + weight * load * SHARP * lost + crossing
+    }
+
+    /// 0: fresh, uncongested and trusted; 1: stale or congested; 2: tried or shunned; 3: silent.
+    fn tier(&self, v: &Server, tried: &[ServerId]) -> u8 {
+        // An answer serves for a few probe rounds; then it says nothing about now.
+        const FRESH: Micros = 10 * SECOND;
+        if v.misses > 0 {
+            3
+        } else if tried.contains(&v.entry.server) || self.shunned(v) {
+            2
+        } else if self.congested(v) || v.heard.is_none_or(|t| self.now - t > FRESH) {
+            1
+        } else {
+            0
+        }
+    }
+
+    /// A quick dropper looks idle and would draw every pick: its faults over its dials tell it apart.
+    fn shunned(&self, v: &Server) -> bool {
+        // Two faults in eight seconds, a quarter of the dials: chance errors are far rarer.
+        const BACK: Micros = 8 * SECOND;
+        let faults = v.faults.sum(self.now, BACK);
+        faults >= 2.0 && faults >= 0.25 * v.dials.sum(self.now, BACK)
+    }
+
+    fn place(&mut self, sess: SessId, g: &Gauge) -> Option<(u8, ServerId)> {
+        let s = &self.sessions[&sess];
+        let repeat = self.site.listeners[s.asked.listener].repeat;
+        let mut best: Option<(u8, f64, ServerId)> = None;
+        let mut ties = 0;
+        let mut rng = self.rng;
+        for v in self.servers.values().filter(|v| v.ready() && legal(repeat, s, &v.entry, self.now)) {
+            if self.now < self.cold_until(v) && self.now < v.cold_next {
+                continue;
+            }
+            let tier = self.tier(v, &s.tried);
+            let cost = self.cost(v, &s.asked, self.load_now(v, g));
+            let order =
+                best.map_or(std::cmp::Ordering::Less, |(t, c, _)| (tier.cmp(&t)).then(cost.total_cmp(&c)));
+            ties = if order.is_eq() { ties + 1 } else { 1 };
+            if order.is_lt() || (order.is_eq() && rng.rand_range(0..ties) == 0) {
+                best = Some((tier, cost, v.entry.server));
+            }
+        }
+        self.rng = rng;
+        best.map(|(tier, _, server)| (tier, server))
+    }
+
+    fn cold_until(&self, v: &Server) -> Micros {
+        let start = v.entry.came_up.max(v.restarted);
+        if start == 0 {
+            0
+        } else {
+            start + self.site.cold
+        }
+    }
+
+    /// Rule 4: this relay's part of a cold server's budget, as the time until it may send again.
+    fn cold_pause(&self, v: &Server, g: &Gauge) -> Micros {
+        // Half of the part, since the capacity is a guess.
+        const MARGIN: f64 = 0.5;
+        let age = self.now.saturating_sub(v.entry.came_up.max(v.restarted)) as f64;
+        let warmth = self.site.cold_from + (1.0 - self.site.cold_from) * age / self.site.cold.max(1) as f64;
+        // What fills a warm server each second: first sessions of all relays over the load they make.
+        let back = (self.now - self.started.unwrap_or(0)).clamp(SECOND, 15 * SECOND);
+        let rate =
+            self.firsts.sum(self.now, back) / back as f64 * f64::from(self.site.relays) / g.x_busy.max(0.1);
+        let part = self.site.fall_multiple * warmth * rate * MARGIN / f64::from(self.site.relays);
+        (1.0 / part.max(1e-9)).min(1e9) as Micros
+    }
+
+    fn dial(&mut self, sess: SessId, out: &mut Vec<Effect>) {
+        let g = self.gauge();
+        let s = self.sessions.get_mut(&sess).expect("the table plays a session that is held");
+        s.dials += 1;
+        s.dialled = self.now;
+        s.tried.push(s.server);
+        let (server, left) = (s.server, s.due - self.now);
+        let listener = &self.site.listeners[s.asked.listener];
+        // A dial gets its handshake target, doubled with each dial; the last one all that is left.
+        let wait = (listener.handshake_target << s.dials.min(8)).min(left);
+        let last = s.dials >= self.site.most_dials || listener.repeat != Repeat::Repeatable;
+        self.count(sess, 1);
+        if let Some(v) = self.servers.get(&server) {
+            let pause = self.cold_pause(v, &g);
+            let v = self.servers.get_mut(&server).expect("just read");
+            v.cold_next = self.now + pause;
+            v.dials.add(self.now, 1.0);
+        }
+        out.push(Effect::Dial { sess, server, wait: if last { left } else { wait } });
+    }
+
+    fn hold(&mut self, sess: SessId, out: &mut Vec<Effect>) {
+        let s = self.sessions.get_mut(&sess).expect("the table plays a session that is held");
+        if s.held_until.is_none() {
+            // A wait for first answers and no longer: half of the handshake target leaves time to dial.
+            let wait =
+                (self.site.listeners[s.asked.listener].handshake_target / 2).min((s.due - self.now) / 2);
+            s.held_until = Some(self.now + wait);
+            out.push(Effect::Alarm { after: wait, label: LABEL_HELD });
+        }
+        self.held.push(sess);
+    }
+
+    fn room(&mut self, out: &mut Vec<Effect>) {
+        for sess in std::mem::take(&mut self.held) {
+            self.play(sess, Sign::Room, out);
+        }
+    }
+
+    fn dial_ended(&mut self, sess: SessId, end: DialEnd, settled: bool, out: &mut Vec<Effect>) {
+        let s = self.sessions.get_mut(&sess).expect("checked by the caller");
+        let fault = matches!(end, DialEnd::Error | DialEnd::Reset | DialEnd::Timeout);
+        if let Some(v) = self.servers.get_mut(&s.server) {
+            if fault && s.state == State::Dialling {
+                v.faults.add(self.now, 1.0);
+            }
+            if end == DialEnd::Unconnected {
+                v.misses += 1;
+            }
+            let never_ran = matches!(end, DialEnd::Full | DialEnd::Unconnected | DialEnd::Moot);
+            if !never_ran && s.ran.is_none() {
+                s.ran = Some((s.dialled, v.entry.zone, v.entry.cell));
+            }
+        }
+        self.play(sess, if settled { Sign::Settled } else { Sign::Fell }, out);
+    }
+
+    fn retry_after(&mut self) -> Micros {
+        // A report's refresh from now there is news; spread, so that refused clients do not come as one.
+        let most = self.site.retry_after.unwrap_or(0);
+        (SECOND / 2 + self.rng.rand_range(0..SECOND)).min(most)
+    }
+
+    fn list(&mut self, kind: ListKind, entries: Vec<Entry>, out: &mut Vec<Effect>) {
+        if kind == ListKind::Failed {
+            // Ask again, more and more slowly, spread over the relays: the list is one service for all.
+            self.watch_fails = (self.watch_fails + 1).min(3);
+            let after = (SECOND << self.watch_fails) / 2 + self.rng.rand_range(0..SECOND);
+            out.push(Effect::Alarm { after, label: LABEL_WATCH });
+            return;
+        }
+        self.watch_fails = 0;
+        if kind == ListKind::Full {
+            self.servers.values_mut().for_each(|v| v.listed = false);
+        }
+        for entry in entries {
+            let v = self.servers.entry(entry.server).or_insert_with(|| Server {
+                entry,
+                listed: true,
+                load: 0.0,
+                piled: 0.0,
+                heard: None,
+                heard_weight: 1.0,
+                misses: 0,
+                dark_since: 0,
+                restarted: 0,
+                cold_next: 0,
+                own: 0,
+                net: Ring::new(SECOND / 4),
+                dials: Ring::new(SECOND),
+                faults: Ring::new(SECOND),
+            });
+            if entry.came_up > v.entry.came_up && v.heard.is_some() {
+                (v.load, v.piled) = (0.0, 0.0);
+            }
+            (v.entry, v.listed) = (entry, true);
+            if v.ready() && v.heard.is_none() && self.site.may_probe {
+                out.push(Effect::Probe { server: entry.server });
+            }
+        }
+    }
+
+    /// One probe, and the time of the next: spread evenly over the round, as often as their price allows.
+    fn beat(&mut self, out: &mut Vec<Effect>) {
+        // Probes may cost this part of the result; beyond it fresher answers earn less than they cost.
+        const SPEND: f64 = 0.008;
+        let ready = self.servers.values().filter(|v| v.ready()).count().max(1) as f64;
+        let back = (self.now - self.started.unwrap_or(0)).clamp(5 * SECOND, 15 * SECOND);
+        let rate = (self.firsts.sum(self.now, back) / (back as f64 / 1e6)).max(0.5);
+        let round = ready * self.site.price_probe / (rate * SPEND);
+        // Reports are not refreshed much faster than twice a second; past four seconds they say little.
+        let after = (round.clamp(0.5, 4.0) / ready * 1e6) as Micros;
+        out.push(Effect::Alarm { after, label: LABEL_PROBE });
+        let mut ready = self.servers.values().filter(|v| v.ready()).map(|v| v.entry.server);
+        let first = ready.next();
+        let next = first.into_iter().chain(ready).find(|&id| id > self.probe_cursor).or(first);
+        if let Some(server) = next {
+            self.probe_cursor = server;
+            out.push(Effect::Probe { server });
+        }
+    }
+
+    fn probed(&mut self, server: ServerId, ok: bool, report: Option<Report>, out: &mut Vec<Effect>) {
+        let Some(v) = self.servers.get_mut(&server) else { return };
+        if !ok {
+            if v.misses == 0 {
+                v.dark_since = self.now;
+            }
+            v.misses += 1;
+            return;
+        }
+        // A silence of more than a moment that ends is taken for a restart, which the list tells late.
+        const SILENCE: Micros = 2 * SECOND;
+        if v.misses > 1 && self.now - v.dark_since > SILENCE {
+            v.restarted = self.now;
+        }
+        v.misses = 0;
+        v.heard = Some(self.now);
+        v.heard_weight = v.entry.weight;
+        if let Some(r) = report {
+            v.load = r.load.unwrap_or(v.load);
+            v.piled = r.piled.unwrap_or(v.piled);
+        }
+        self.relieve(server, out);
+        self.room(out);
+    }
+
+    /// Sessions on a server that fills up go where they lose less; each probe answer moves a few.
+    fn relieve(&mut self, server: ServerId, out: &mut Vec<Effect>) {
+        // Below this load nothing is gained by a move.
+        const FULL: f64 = 0.75;
+        // What a move must gain beyond its price: the gap, the set-up, and the doubt about old answers.
+        const DOUBT: f64 = 0.15;
+        let g = self.gauge();
+        let load = self.load_now(&self.servers[&server], &g);
+        if load < FULL || !self.servers[&server].ready() {
+            return;
+        }
+        let mut mine: Vec<(SessId, f64)> = self
+            .sessions
+            .iter()
+            .filter(|(_, s)| s.server == server && s.state == State::Open)
+            .map(|(&id, s)| (id, s.load))
+            .collect();
+        mine.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
+        // A third of the way to the others' mean at each answer, since the next reports lag behind.
+        let mean = g.x_busy / g.c.max(1.0);
+        let some =
+            ((load.min(2.0) - mean).max(0.0) / (load.min(2.0)) * mine.len() as f64 / 3.0).ceil() as usize;
+        for (sess, _) in mine.into_iter().take(some) {
+            let asked = self.sessions[&sess].asked;
+            let here = self.cost(&self.servers[&server], &asked, load.min(1.2));
+            let there = self
+                .servers
+                .values()
+                .filter(|v| v.ready() && self.tier(v, &[]) == 0 && self.now >= self.cold_until(v))
+                .map(|v| self.cost(v, &asked, self.load_now(v, &g) + g.step))
+                .min_by(f64::total_cmp);
+            if there.is_some_and(|there| here - there > self.site.price_move + DOUBT) {
+                self.play(sess, Sign::Hot, out);
+            }
+        }
+    }
+}
+
+impl Server {
+    fn ready(&self) -> bool {
+        self.listed && self.entry.phase == Phase::Ready
+    }
+
+    fn unheard(&self) -> bool {
+        self.ready() && self.heard.is_none() && self.misses == 0
+    }
+}
+
+/// Rule 2: whether a session may be dialled at a server, after what may have run already.
+fn legal(repeat: Repeat, s: &Sess, at: &Entry, now: Micros) -> bool {
+    match (repeat, s.ran) {
+        (Repeat::Repeatable, _) | (_, None) => true,
+        (Repeat::OnceOnly, Some(_)) => false,
+        (Repeat::Referenced { within, window }, Some((since, zone, cell))) => {
+            now < since + window
+                && match within {
+                    Within::All => true,
+                    Within::Zone => zone == at.zone,
+                    Within::Cell => cell == at.cell,
+                }
+        }
+    }
+}
+
+/// Spreads ids evenly (the finaliser of splitmix64).
+fn mix(mut x: u64) -> u64 {
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
--- /dev/null
+++ b/src/types.rs
@@ -0,0 +1,154 @@
+//! What the decision module is told, what it may do, and the facts of its site.
+//! Times are whole microseconds on the host's clock; ids are the host's own.
+
+pub type Micros = u64;
+pub type SessId = u32;
+pub type ServerId = u32;
+
+/// What running a session's dial twice would do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    Repeatable,
+    /// Repeats are dropped inside the group, for `window` after the first dial that may have run.
+    Referenced {
+        within: Within,
+        window: Micros,
+    },
+    OnceOnly,
+}
+
+/// The backends among which a referenced session's repeat is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Within {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Debug)]
+pub struct Listener {
+    pub utility: f64,
+    pub repeat: Repeat,
+    pub handshake_target: Micros,
+    pub message_target: Micros,
+}
+
+/// A tenant's share, as far as it is told: sessions open at once over all relays.
+#[derive(Clone, Debug)]
+pub struct Tenant {
+    pub open_quota: Option<f64>,
+}
+
+/// What the site tells an instance at its start.
+#[derive(Clone, Debug)]
+pub struct SiteFacts {
+    pub listeners: Vec<Listener>,
+    pub tenants: Vec<Tenant>,
+    pub relays: u32,
+    pub slot: u32,
+    pub zone: u8,
+    pub must_watch: bool,
+    pub may_probe: bool,
+    pub groups: bool,
+    pub live_weights: bool,
+    pub most_dials: u32,
+    pub max_open: u32,
+    /// Longest retry-after that a client heeds; none where it is not conveyed.
+    pub retry_after: Option<Micros>,
+    pub cold: Micros,
+    pub cold_from: f64,
+    pub fall: Micros,
+    pub fall_multiple: f64,
+    /// Prices, as parts of the whole result: a session across zones, a move and a probe for each session.
+    pub price_crossing: f64,
+    pub price_move: f64,
+    pub price_probe: f64,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Report {
+    /// Load asked over what the server can do.
+    pub load: Option<f64>,
+    /// Work piled up, in seconds.
+    pub piled: Option<f64>,
+    /// Errors a second.
+    pub errors: Option<f64>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    Ready,
+    Draining,
+    Gone,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Entry {
+    pub server: ServerId,
+    pub phase: Phase,
+    /// Clock time of the last start; 0 is long ago.
+    pub came_up: Micros,
+    pub weight: f64,
+    pub zone: u8,
+    pub cell: u16,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListKind {
+    Full,
+    Changes,
+    /// The call failed, or the watch broke.
+    Failed,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DialEnd {
+    Ok,
+    /// Answered with an error: it may have run.
+    Error,
+    /// Turned away unseen: it never ran.
+    Full,
+    Timeout,
+    /// No connection came about: it never ran.
+    Unconnected,
+    Reset,
+    Recalled,
+    /// Not sent at all.
+    Moot,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Asked {
+    pub listener: usize,
+    pub tenant: usize,
+    /// Sessions of one group share work on a server; 0 is none.
+    pub group: u64,
+    /// The client is back after an interruption or a move.
+    pub returned: bool,
+    /// What is left of its dial timeout.
+    pub left: Micros,
+}
+
+#[derive(Clone, Debug)]
+pub enum Input {
+    List { kind: ListKind, entries: Vec<Entry> },
+    Asked { sess: SessId, asked: Asked },
+    AlreadyOpen { sess: SessId, server: ServerId, asked: Asked },
+    Stands { sess: SessId, dial: u32 },
+    Load { sess: SessId, load: f64 },
+    DialEnded { sess: SessId, dial: u32, end: DialEnd, settled: bool, report: Option<Report> },
+    Left { sess: SessId },
+    Probed { server: ServerId, ok: bool, report: Option<Report> },
+    Alarm { label: u32 },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    Dial { sess: SessId, server: ServerId, wait: Micros },
+    Refuse { sess: SessId, retry_after: Micros },
+    TearDown { sess: SessId },
+    Move { sess: SessId },
+    Probe { server: ServerId },
+    Alarm { after: Micros, label: u32 },
+    Watch,
+}
