--- a/simhost/src/facts.rs
+++ b/simhost/src/facts.rs
@@ -82,7 +82,7 @@
     let listeners = top.key("Listeners")?.list()?;
     let quotas = family.key("TenantQuotaConnections")?.list()?;
     let tenant = |(i, _): (usize, &At)| -> Result<Tenant, String> {
-        Ok(Tenant { open_quota: quotas.get(i).map(At::num).transpose()? })
+        Ok(Tenant { open_quota: quotas.get(i).filter(|at| !at.value.is_null()).map(At::num).transpose()? })
     };
     let report = top.key("Report")?;
     report.key("How")?.word(&[("inline", ()), ("on_probe", ()), ("off", ())])?;
