Loads only as reported, message delays as piled work, dials paced by those that stand

Cause: probe answers without a report counted as load 0, resets made a dropping server look idle, redials fed a jam of the shared store.

--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -178,6 +178,7 @@
             }
             7 => Input::Asked { sess: f.u32(3), asked: asked(7, 16, 18, 22, 38) },
             8 if f.u8(13) == 1 => Input::Load { sess: f.u32(3), load: f.f32(14) },
+            8 if f.u8(13) == 2 => Input::Delay { sess: f.u32(3), delay: f.f32(14) / 1000.0 },
             8 => return Ok((instance, Event::Unused)),
             9 => return Ok((instance, Event::Stop)),
             10 => Input::DialEnded {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -102,6 +102,8 @@
     listed: bool,
     load: f64,
     piled: f64,
+    /// Seconds that a message took there, and when this was told.
+    delay: (f64, Micros),
     heard: Option<Micros>,
     heard_weight: f64,
     misses: u32,
@@ -126,6 +128,7 @@
     /// The first dial that may have run, and where.
     ran: Option<(Micros, u8, u16)>,
     held_until: Option<Micros>,
+    dropped: bool,
     load: f64,
 }
 
@@ -149,6 +152,8 @@
     by_tenant: Vec<u32>,
     n: u32,
     firsts: Ring,
+    dials: Ring,
+    stood: Ring,
     started: Option<Micros>,
     probe_cursor: ServerId,
     watch_fails: u32,
@@ -179,6 +184,8 @@
             groups: BTreeMap::new(),
             n: 0,
             firsts: Ring::new(SECOND),
+            dials: Ring::new(SECOND / 4),
+            stood: Ring::new(SECOND / 4),
             started: None,
             probe_cursor: 0,
             watch_fails: 0,
@@ -212,7 +219,9 @@
             }
             Input::Stands { sess, dial } => {
                 if self.current(sess, dial) {
+                    self.stood.add(now, 1.0);
                     self.play(sess, Sign::Stands, out);
+                    self.room(out);
                 }
             }
             Input::Load { sess, load } => {
@@ -220,6 +229,12 @@
                     s.load = load;
                 }
             }
+            Input::Delay { sess, delay } => {
+                let server = self.sessions.get(&sess).map_or(0, |s| s.server);
+                if let Some(v) = self.servers.get_mut(&server) {
+                    v.delay = (delay, now);
+                }
+            }
             Input::DialEnded { sess, dial, end, settled, .. } => {
                 if self.current(sess, dial) {
                     self.dial_ended(sess, end, settled, out);
@@ -244,6 +259,7 @@
             tried: Vec::new(),
             ran: None,
             held_until: None,
+            dropped: false,
             load: 0.0,
         }
     }
@@ -284,6 +300,7 @@
     /// Books a session on its server, or off it: from the dial on, so that what is under way counts.
     fn count(&mut self, sess: SessId, by: i32) {
         let s = &self.sessions[&sess];
+        let dropped = s.dropped;
         self.n = self.n.saturating_add_signed(by);
         if let Some(t) = self.by_tenant.get_mut(s.asked.tenant) {
             *t = t.saturating_add_signed(by);
@@ -297,7 +314,10 @@
         }
         if let Some(server) = self.servers.get_mut(&s.server) {
             server.own = server.own.saturating_add_signed(by);
-            server.net.add(self.now, by as f32);
+            // A quick dropper must not look the idler for each session that it drops.
+            if !dropped {
+                server.net.add(self.now, by as f32);
+            }
         }
     }
 
@@ -320,6 +340,9 @@
             return give_up;
         }
         let waited = s.held_until.is_some_and(|until| self.now >= until);
+        if !self.set_up_has_room() {
+            return if waited { give_up } else { Sign::Wait };
+        }
         match self.place(sess, &gauge) {
             Some((tier, _)) if tier > 0 && !waited && self.servers.values().any(|v| v.unheard()) => {
                 Sign::Wait
@@ -333,6 +356,13 @@
         }
     }
 
+    /// Dials go no faster than dials come to stand: a jam that all servers share (the store behind them)
+    /// is only fed by redials and by returning clients. A wave of good dials opens the way by itself.
+    fn set_up_has_room(&self) -> bool {
+        const BACK: Micros = 2 * SECOND;
+        self.dials.sum(self.now, BACK) < 8.0 + 4.0 * self.stood.sum(self.now, BACK)
+    }
+
     /// HEU. A returned session counts as high: its interruption has been paid for already.
     fn admits(&self, asked: &Asked, g: &Gauge) -> bool {
         // Part of the fleet kept for high utility.
@@ -355,13 +385,24 @@
         }
         // Before anything is known a session counts as a fiftieth of a server.
         let open = f64::from(self.n * self.site.relays);
-        g.step = (g.x_busy / open.max(1.0)).clamp(0.002, 0.05);
+        g.step = if g.x_busy > 0.0 { (g.x_busy / open.max(1.0)).clamp(0.002, 0.05) } else { 0.02 };
         g
     }
 
     fn congested(&self, v: &Server) -> bool {
         const ALPHA_CONG: f64 = 0.5;
-        v.piled > self.message_target * (1.0 + ALPHA_CONG)
+        self.piled(v) > self.message_target * (1.0 + ALPHA_CONG)
+    }
+
+    /// The work piled up: as probed, or as a message of an open session felt it, which is told at once.
+    fn piled(&self, v: &Server) -> f64 {
+        // Told anew each second while it lasts.
+        const TOLD: Micros = 2 * SECOND;
+        if self.now - v.delay.1 < TOLD {
+            v.piled.max(v.delay.0)
+        } else {
+            v.piled
+        }
     }
 
     /// The probed load, brought up to now by what this relay has placed since, times the relays that do alike.
@@ -375,7 +416,11 @@
         } else {
             1.0
         };
-        (v.load * live + v.piled + g.step * since).max(0.0)
+        let base = match v.heard {
+            Some(_) => v.load * live,
+            None => f64::from(v.own * self.site.relays) * g.step,
+        };
+        (base + self.piled(v) + g.step * since).max(0.0)
     }
 
     /// The lowest load over capacity, told as what one more session there costs: the part of service that
@@ -477,6 +522,7 @@
         let wait = (listener.handshake_target << s.dials.min(8)).min(left);
         let last = s.dials >= self.site.most_dials || listener.repeat != Repeat::Repeatable;
         self.count(sess, 1);
+        self.dials.add(self.now, 1.0);
         if let Some(v) = self.servers.get(&server) {
             let pause = self.cold_pause(v, &g);
             let v = self.servers.get_mut(&server).expect("just read");
@@ -508,7 +554,8 @@
         let s = self.sessions.get_mut(&sess).expect("checked by the caller");
         let fault = matches!(end, DialEnd::Error | DialEnd::Reset | DialEnd::Timeout);
         if let Some(v) = self.servers.get_mut(&s.server) {
-            if fault && s.state == State::Dialling {
+            if fault {
+                s.dropped = true;
                 v.faults.add(self.now, 1.0);
             }
             if end == DialEnd::Unconnected {
@@ -546,6 +593,7 @@
                 listed: true,
                 load: 0.0,
                 piled: 0.0,
+                delay: (0.0, 0),
                 heard: None,
                 heard_weight: 1.0,
                 misses: 0,
@@ -574,7 +622,8 @@
         let ready = self.servers.values().filter(|v| v.ready()).count().max(1) as f64;
         let back = (self.now - self.started.unwrap_or(0)).clamp(5 * SECOND, 15 * SECOND);
         let rate = (self.firsts.sum(self.now, back) / (back as f64 / 1e6)).max(0.5);
-        let round = ready * self.site.price_probe / (rate * SPEND);
+        let young = self.now - self.started.unwrap_or(0) < 5 * SECOND;
+        let round = if young { 1.0 } else { ready * self.site.price_probe / (rate * SPEND) };
         // Reports are not refreshed much faster than twice a second; past four seconds they say little.
         let after = (round.clamp(0.5, 4.0) / ready * 1e6) as Micros;
         out.push(Effect::Alarm { after, label: LABEL_PROBE });
@@ -602,11 +651,9 @@
             v.restarted = self.now;
         }
         v.misses = 0;
-        v.heard = Some(self.now);
-        v.heard_weight = v.entry.weight;
-        if let Some(r) = report {
-            v.load = r.load.unwrap_or(v.load);
-            v.piled = r.piled.unwrap_or(v.piled);
+        if let Some((r, load)) = report.and_then(|r| Some((r, r.load?))) {
+            (v.heard, v.heard_weight) = (Some(self.now), v.entry.weight);
+            (v.load, v.piled) = (load, r.piled.unwrap_or(0.0));
         }
         self.relieve(server, out);
         self.room(out);
--- a/src/types.rs
+++ b/src/types.rs
@@ -131,15 +131,51 @@
 
 #[derive(Clone, Debug)]
 pub enum Input {
-    List { kind: ListKind, entries: Vec<Entry> },
-    Asked { sess: SessId, asked: Asked },
-    AlreadyOpen { sess: SessId, server: ServerId, asked: Asked },
-    Stands { sess: SessId, dial: u32 },
-    Load { sess: SessId, load: f64 },
-    DialEnded { sess: SessId, dial: u32, end: DialEnd, settled: bool, report: Option<Report> },
-    Left { sess: SessId },
-    Probed { server: ServerId, ok: bool, report: Option<Report> },
-    Alarm { label: u32 },
+    List {
+        kind: ListKind,
+        entries: Vec<Entry>,
+    },
+    Asked {
+        sess: SessId,
+        asked: Asked,
+    },
+    AlreadyOpen {
+        sess: SessId,
+        server: ServerId,
+        asked: Asked,
+    },
+    Stands {
+        sess: SessId,
+        dial: u32,
+    },
+    /// The session's load now.
+    Load {
+        sess: SessId,
+        load: f64,
+    },
+    /// Seconds that a message takes at the session's server now.
+    Delay {
+        sess: SessId,
+        delay: f64,
+    },
+    DialEnded {
+        sess: SessId,
+        dial: u32,
+        end: DialEnd,
+        settled: bool,
+        report: Option<Report>,
+    },
+    Left {
+        sess: SessId,
+    },
+    Probed {
+        server: ServerId,
+        ok: bool,
+        report: Option<Report>,
+    },
+    Alarm {
+        label: u32,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq)]
