Moves damped: known weights, half the excess, a pause until reports show it

Cause: moves repeated before reports showed the first, and heavy sessions were counted as mean ones, so that each move toppled its target.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -111,6 +111,7 @@
     /// When a restart was last seen, by the list or by a silence that ended; 0 is long ago.
     restarted: Micros,
     cold_next: Micros,
+    relieved: Micros,
     own: u32,
     net: Ring,
     dials: Ring,
@@ -149,6 +150,9 @@
     sessions: BTreeMap<SessId, Sess>,
     held: Vec<SessId>,
     groups: BTreeMap<(ServerId, u64), u32>,
+    /// Loads of sessions that were cut off or moved, by the key with which they come again.
+    away: BTreeMap<u64, f64>,
+    mean_load: f64,
     by_tenant: Vec<u32>,
     n: u32,
     firsts: Ring,
@@ -182,6 +186,8 @@
             sessions: BTreeMap::new(),
             held: Vec::new(),
             groups: BTreeMap::new(),
+            away: BTreeMap::new(),
+            mean_load: 0.0,
             n: 0,
             firsts: Ring::new(SECOND),
             dials: Ring::new(SECOND / 4),
@@ -210,11 +216,13 @@
                     self.firsts.add(now, 1.0);
                 }
                 let listener = asked.listener.min(self.site.listeners.len() - 1);
-                self.sessions.insert(sess, self.fresh(Asked { listener, ..asked }, State::Weighed));
+                let s = self.fresh(Asked { listener, ..asked }, State::Weighed);
+                self.sessions.insert(sess, s);
                 self.play(sess, Sign::Room, out);
             }
             Input::AlreadyOpen { sess, server, asked } => {
-                self.sessions.insert(sess, Sess { server, dials: 1, ..self.fresh(asked, State::Open) });
+                let s = Sess { server, dials: 1, ..self.fresh(asked, State::Open) };
+                self.sessions.insert(sess, s);
                 self.count(sess, 1);
             }
             Input::Stands { sess, dial } => {
@@ -227,6 +235,8 @@
             Input::Load { sess, load } => {
                 if let Some(s) = self.sessions.get_mut(&sess) {
                     s.load = load;
+                    // A running mean over some fifty notes, to tell a heavy session from a light one.
+                    self.mean_load += (load - self.mean_load) * if self.mean_load > 0.0 { 0.02 } else { 1.0 };
                 }
             }
             Input::Delay { sess, delay } => {
@@ -248,7 +258,16 @@
         }
     }
 
-    fn fresh(&self, asked: Asked, state: State) -> Sess {
+    /// How heavy a session is against the mean, as far as it was told.
+    fn weight(&self, s: &Sess) -> f64 {
+        if s.load > 0.0 {
+            (s.load / self.mean_load).clamp(0.1, 10.0)
+        } else {
+            1.0
+        }
+    }
+
+    fn fresh(&mut self, asked: Asked, state: State) -> Sess {
         Sess {
             asked,
             due: self.now + asked.left,
@@ -260,7 +279,7 @@
             ran: None,
             held_until: None,
             dropped: false,
-            load: 0.0,
+            load: self.away.remove(&asked.key).unwrap_or(0.0),
         }
     }
 
@@ -292,7 +311,12 @@
                 Act::Nothing => {}
             }
             if to == State::Over {
-                self.sessions.remove(&sess);
+                if let Some(s) = self.sessions.remove(&sess) {
+                    // Kept for those alone that come again at once, so a small table does.
+                    if s.load > 0.0 && (from == State::Leaving || s.dropped) && self.away.len() < 1000 {
+                        self.away.insert(s.asked.key, s.load);
+                    }
+                }
             }
         }
     }
@@ -300,7 +324,7 @@
     /// Books a session on its server, or off it: from the dial on, so that what is under way counts.
     fn count(&mut self, sess: SessId, by: i32) {
         let s = &self.sessions[&sess];
-        let dropped = s.dropped;
+        let (dropped, weight) = (s.dropped, self.weight(s));
         self.n = self.n.saturating_add_signed(by);
         if let Some(t) = self.by_tenant.get_mut(s.asked.tenant) {
             *t = t.saturating_add_signed(by);
@@ -316,7 +340,7 @@
             server.own = server.own.saturating_add_signed(by);
             // A quick dropper must not look the idler for each session that it drops.
             if !dropped {
-                server.net.add(self.now, by as f32);
+                server.net.add(self.now, by as f32 * weight as f32);
             }
         }
     }
@@ -366,7 +390,7 @@
     /// HEU. A returned session counts as high: its interruption has been paid for already.
     fn admits(&self, asked: &Asked, g: &Gauge) -> bool {
         // Part of the fleet kept for high utility.
-        const K_RESERVED: f64 = 0.15;
+        const K_RESERVED: f64 = 0.25;
         let c_id = f64::from(self.site.max_open);
         let (t_servers, t_id) = (g.c * (1.0 - K_RESERVED), c_id * (1.0 - K_RESERVED));
         let n = f64::from(self.n);
@@ -600,6 +624,7 @@
                 dark_since: 0,
                 restarted: 0,
                 cold_next: 0,
+                relieved: 0,
                 own: 0,
                 net: Ring::new(SECOND / 4),
                 dials: Ring::new(SECOND),
@@ -670,28 +695,33 @@
         if load < FULL || !self.servers[&server].ready() {
             return;
         }
-        let mut mine: Vec<(SessId, f64)> = self
-            .sessions
-            .iter()
-            .filter(|(_, s)| s.server == server && s.state == State::Open)
-            .map(|(&id, s)| (id, s.load))
-            .collect();
+        // What was moved shows in reports only after this; until then nothing more is moved.
+        const SHOWN: Micros = 2 * SECOND;
+        if self.now - self.servers[&server].relieved < SHOWN {
+            return;
+        }
+        let open = self.sessions.iter().filter(|(_, s)| s.server == server && s.state == State::Open);
+        let mut mine: Vec<(SessId, f64)> = open.map(|(&id, s)| (id, self.weight(s))).collect();
         mine.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
-        // A third of the way to the others' mean at each answer, since the next reports lag behind.
-        let mean = g.x_busy / g.c.max(1.0);
-        let some =
-            ((load.min(2.0) - mean).max(0.0) / (load.min(2.0)) * mine.len() as f64 / 3.0).ceil() as usize;
-        for (sess, _) in mine.into_iter().take(some) {
+        let part = load / mine.iter().map(|m| m.1).sum::<f64>().max(1.0) / f64::from(self.site.relays);
+        // This relay's part of half the way down to the others' mean, heaviest first.
+        let mean = (g.x_busy / g.c.max(1.0)).min(FULL);
+        let mut excess = (load - mean) / 2.0 / f64::from(self.site.relays);
+        for (sess, weight) in mine {
+            if weight * part > excess {
+                continue;
+            }
             let asked = self.sessions[&sess].asked;
             let here = self.cost(&self.servers[&server], &asked, load.min(1.2));
-            let there = self
-                .servers
-                .values()
-                .filter(|v| v.ready() && self.tier(v, &[]) == 0 && self.now >= self.cold_until(v))
-                .map(|v| self.cost(v, &asked, self.load_now(v, &g) + g.step))
+            let others = self.servers.values().filter(|v| v.ready() && self.tier(v, &[]) == 0);
+            let there = others
+                .filter(|v| self.now >= self.cold_until(v))
+                .map(|v| self.cost(v, &asked, self.load_now(v, &g) + g.step * weight))
                 .min_by(f64::total_cmp);
             if there.is_some_and(|there| here - there > self.site.price_move + DOUBT) {
+                excess -= weight * part;
                 self.play(sess, Sign::Hot, out);
+                self.servers.get_mut(&server).expect("just read").relieved = self.now;
             }
         }
     }
--- a/src/types.rs
+++ b/src/types.rs
@@ -121,6 +121,8 @@
 pub struct Asked {
     pub listener: usize,
     pub tenant: usize,
+    /// The client's own mark: a session that comes again carries the same; 0 is none.
+    pub key: u64,
     /// Sessions of one group share work on a server; 0 is none.
     pub group: u64,
     /// The client is back after an interruption or a move.
