--- a/src/logic.rs
+++ b/src/logic.rs
@@ -670,9 +670,10 @@
             v.misses += 1;
             return;
         }
-        // A silence of more than a moment that ends is taken for a restart, which the list tells late.
+        // A silence of more than a moment that ends is taken for a restart, which the list tells late; but
+        // not where sessions outlived it: then the way there was cut, and the server is as warm as before.
         const SILENCE: Micros = 2 * SECOND;
-        if v.misses > 1 && self.now - v.dark_since > SILENCE {
+        if v.misses > 1 && self.now - v.dark_since > SILENCE && v.own == 0 {
             v.restarted = self.now;
         }
         v.misses = 0;
