--- a/src/logic.rs
+++ b/src/logic.rs
@@ -415,7 +415,8 @@
 
     fn congested(&self, v: &Server) -> bool {
         const ALPHA_CONG: f64 = 0.5;
-        self.piled(v) > self.message_target * (1.0 + ALPHA_CONG)
+        // What drops sessions is no place for more, however idle each drop makes it look.
+        self.piled(v) > self.message_target * (1.0 + ALPHA_CONG) || self.shunned(v)
     }
 
     /// The work piled up: as probed, or as a message of an open session felt it, which is told at once.
