A server that returns with its load was cut off, not restarted

Cause: after a zone cut every server of the other zone was held to the cold budget while the near ones toppled. Told from a crash by the first report after the silence: a restart comes back empty.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -671,10 +671,11 @@
             v.misses += 1;
             return;
         }
-        // A silence of more than a moment that ends is taken for a restart, which the list tells late; but
-        // not where sessions outlived it: then the way there was cut, and the server is as warm as before.
+        // A silence of more than a moment that ends is taken for a restart, which the list tells late. Who
+        // comes back with its load was only cut off and is as warm as before: a restart drops all of it.
         const SILENCE: Micros = 2 * SECOND;
-        if v.misses > 1 && self.now - v.dark_since > SILENCE && v.own == 0 {
+        let load = report.and_then(|r| r.load).unwrap_or(0.0);
+        if v.misses > 1 && self.now - v.dark_since > SILENCE && load < 0.3 * v.load {
             v.restarted = self.now;
         }
         v.misses = 0;
