x_busy counts what was let in since the probe answers

Cause: after a time of refusals the first low answers opened the door for all who waited, at every relay at once.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -402,14 +402,17 @@
 
     fn gauge(&self) -> Gauge {
         let mut g = Gauge { c: 0.0, x_busy: 0.0, x_cong: 0.0, step: 0.0 };
-        for v in self.servers.values().filter(|v| v.ready() && v.misses == 0 && v.heard.is_some()) {
+        let answering = || self.servers.values().filter(|v| v.ready() && v.misses == 0 && v.heard.is_some());
+        let probed: f64 = answering().map(|v| v.load.min(1.0)).sum();
+        // Before anything is known a session counts as a fiftieth of a server.
+        let open = f64::from(self.n * self.site.relays);
+        g.step = if probed > 0.0 { (probed / open.max(1.0)).clamp(0.002, 0.05) } else { 0.02 };
+        for v in answering() {
             g.c += 1.0;
-            g.x_busy += v.load.min(1.0);
+            // What was let in since the answers counts too, or a thaw lets all who wait in at once.
+            g.x_busy += self.load_now(v, &g).min(1.0);
             g.x_cong += f64::from(u8::from(self.congested(v)));
         }
-        // Before anything is known a session counts as a fiftieth of a server.
-        let open = f64::from(self.n * self.site.relays);
-        g.step = if g.x_busy > 0.0 { (g.x_busy / open.max(1.0)).clamp(0.002, 0.05) } else { 0.02 };
         g
     }
 
