C read as the usable 0.85 of each ready server; reserve 0.15

Cause: load asked near what a server can do already makes messages late, so a fleet filled to C is toppled by the next wave.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -390,7 +390,7 @@
     /// HEU. A returned session counts as high: its interruption has been paid for already.
     fn admits(&self, asked: &Asked, g: &Gauge) -> bool {
         // Part of the fleet kept for high utility.
-        const K_RESERVED: f64 = 0.25;
+        const K_RESERVED: f64 = 0.15;
         let c_id = f64::from(self.site.max_open);
         let (t_servers, t_id) = (g.c * (1.0 - K_RESERVED), c_id * (1.0 - K_RESERVED));
         let n = f64::from(self.n);
@@ -401,6 +401,8 @@
     }
 
     fn gauge(&self) -> Gauge {
+        // How C is read: a server's part that can be filled before messages miss their target. Tried 0.7, 0.85, 1.
+        const USABLE: f64 = 0.85;
         let mut g = Gauge { c: 0.0, x_busy: 0.0, x_cong: 0.0, step: 0.0 };
         let answering = || self.servers.values().filter(|v| v.ready() && v.misses == 0 && v.heard.is_some());
         let probed: f64 = answering().map(|v| v.load.min(1.0)).sum();
@@ -408,7 +410,7 @@
         let open = f64::from(self.n * self.site.relays);
         g.step = if probed > 0.0 { (probed / open.max(1.0)).clamp(0.002, 0.05) } else { 0.02 };
         for v in answering() {
-            g.c += 1.0;
+            g.c += USABLE;
             // What was let in since the answers counts too, or a thaw lets all who wait in at once.
             g.x_busy += self.load_now(v, &g).min(1.0);
             g.x_cong += f64::from(u8::from(self.congested(v)));
