--- a/src/logic.rs
+++ b/src/logic.rs
@@ -653,10 +653,10 @@
         let ready = self.servers.values().filter(|v| v.ready()).count().max(1) as f64;
         let back = (self.now - self.started.unwrap_or(0)).clamp(5 * SECOND, 15 * SECOND);
         let rate = (self.firsts.sum(self.now, back) / (back as f64 / 1e6)).max(0.5);
-        let young = self.now - self.started.unwrap_or(0) < 5 * SECOND;
+        let young = self.now - self.started.unwrap_or(0) < 3 * SECOND;
         let round = if young { 1.0 } else { ready * self.site.price_probe / (rate * SPEND) };
         // Reports are not refreshed much faster than twice a second; past four seconds they say little.
-        let after = (round.clamp(0.5, 4.0) / ready * 1e6) as Micros;
+        let after = (round.clamp(0.5, 8.0) / ready * 1e6) as Micros;
         out.push(Effect::Alarm { after, label: LABEL_PROBE });
         let mut ready = self.servers.values().filter(|v| v.ready()).map(|v| v.entry.server);
         let first = ready.next();
