--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -163,7 +163,7 @@
             }
             3 => Input::Probed {
                 server: f.u32(3),
-                ok: f.u16(7) == 1,
+                end: dial_end(f.u16(7)).ok_or_else(|| what(format!("unknown outcome {}", f.u16(7))))?,
                 report: report(f, 17, &what)?.map(|raw| order(instance).pick(raw)),
             },
             4 => return Ok((instance, Event::Unused)),
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -161,6 +161,7 @@
     started: Option<Micros>,
     probe_cursor: ServerId,
     watch_fails: u32,
+    refused: Micros,
     high_from: f64,
     message_target: f64,
 }
@@ -195,6 +196,7 @@
             started: None,
             probe_cursor: 0,
             watch_fails: 0,
+            refused: 0,
         }
     }
 
@@ -251,7 +253,7 @@
                 }
             }
             Input::Left { sess } => self.play(sess, Sign::Left, out),
-            Input::Probed { server, ok, report } => self.probed(server, ok, report, out),
+            Input::Probed { server, end, report } => self.probed(server, end, report, out),
             Input::Alarm { label: LABEL_PROBE } => self.beat(out),
             Input::Alarm { label: LABEL_WATCH } => out.push(Effect::Watch),
             Input::Alarm { .. } => self.room(out),
@@ -305,7 +307,10 @@
                 Act::Weigh => next = Some(self.weigh(sess)),
                 Act::Dial => self.dial(sess, out),
                 Act::Hold => self.hold(sess, out),
-                Act::Refuse => out.push(Effect::Refuse { sess, retry_after: self.retry_after() }),
+                Act::Refuse => {
+                    self.refused = self.now;
+                    out.push(Effect::Refuse { sess, retry_after: self.retry_after() });
+                }
                 Act::TearDown => out.push(Effect::TearDown { sess }),
                 Act::Move => out.push(Effect::Move { sess }),
                 Act::Nothing => {}
@@ -655,8 +660,10 @@
         let rate = (self.firsts.sum(self.now, back) / (back as f64 / 1e6)).max(0.5);
         let young = self.now - self.started.unwrap_or(0) < 3 * SECOND;
         let round = if young { 1.0 } else { ready * self.site.price_probe / (rate * SPEND) };
-        // Reports are not refreshed much faster than twice a second; past four seconds they say little.
-        let after = (round.clamp(0.5, 8.0) / ready * 1e6) as Micros;
+        // Reports are not refreshed much faster than twice a second; past eight seconds they say little. While
+        // sessions are refused an old answer keeps them out, which is dearer than probes.
+        let longest = 8.0;
+        let after = (round.clamp(0.5, longest) / ready * 1e6) as Micros;
         out.push(Effect::Alarm { after, label: LABEL_PROBE });
         let mut ready = self.servers.values().filter(|v| v.ready()).map(|v| v.entry.server);
         let first = ready.next();
@@ -667,9 +674,12 @@
         }
     }
 
-    fn probed(&mut self, server: ServerId, ok: bool, report: Option<Report>, out: &mut Vec<Effect>) {
+    fn probed(&mut self, server: ServerId, end: DialEnd, report: Option<Report>, out: &mut Vec<Effect>) {
         let Some(v) = self.servers.get_mut(&server) else { return };
-        if !ok {
+        if end == DialEnd::Full {
+            return; // too many probes at once: it lives, and nothing else is learnt
+        }
+        if end != DialEnd::Ok {
             if v.misses == 0 {
                 v.dark_since = self.now;
             }
--- a/src/types.rs
+++ b/src/types.rs
@@ -172,7 +172,7 @@
     },
     Probed {
         server: ServerId,
-        ok: bool,
+        end: DialEnd,
         report: Option<Report>,
     },
     Alarm {
