A returned session counts by its listener's utility, like any other

Cause: under overload almost all sessions are returned ones, so all counted as high and nothing was shed in order.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -392,14 +392,14 @@
         self.dials.sum(self.now, BACK) < 8.0 + 4.0 * self.stood.sum(self.now, BACK)
     }
 
-    /// HEU. A returned session counts as high: its interruption has been paid for already.
+    /// HEU, as on the design page.
     fn admits(&self, asked: &Asked, g: &Gauge) -> bool {
         // Part of the fleet kept for high utility.
         const K_RESERVED: f64 = 0.15;
         let c_id = f64::from(self.site.max_open);
         let (t_servers, t_id) = (g.c * (1.0 - K_RESERVED), c_id * (1.0 - K_RESERVED));
         let n = f64::from(self.n);
-        let high = asked.returned || self.site.listeners[asked.listener].utility >= self.high_from;
+        let high = self.site.listeners[asked.listener].utility >= self.high_from;
         (n < t_id && g.x_busy < t_servers - g.x_cong)
             || (high && n < c_id && g.x_busy < g.c - g.x_cong)
             || g.c == 0.0
