--- a/simhost/src/facts.rs
+++ b/simhost/src/facts.rs
@@ -93,7 +93,6 @@
         piled: place("x1"),
         errors: place("failed_ps"),
     };
-    let weights = [("off", false), ("nominal", false), ("rough", false), ("live", true)];
     let site = SiteFacts {
         listeners: listeners.iter().enumerate().map(listener).collect::<Result<_, _>>()?,
         tenants: top.key("Orgs")?.list()?.iter().enumerate().map(tenant).collect::<Result<_, _>>()?,
@@ -103,7 +102,6 @@
         must_watch: top.key("Discovery")?.word(&[("automatic", false), ("subscribe", true)])?,
         may_probe: limits.key("MayProbe")?.yes()?,
         groups: family.key("Groups")?.yes()?,
-        live_weights: top.key("WeightKind")?.word(&weights)?,
         most_dials: limits.key("MostDials")?.whole()?,
         max_open: limits.key("MaxOpen")?.whole()?,
         retry_after: if limits.key("RetryAfter")?.yes()? {
--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -212,14 +212,7 @@
         2 => Phase::Gone,
         p => return Err(format!("unknown phase {p}")),
     };
-    Ok(Entry {
-        came_up: f.micros(0),
-        server: f.u32(8),
-        weight: f.f32(12),
-        cell: f.u16(16),
-        zone: f.u8(18),
-        phase,
-    })
+    Ok(Entry { came_up: f.micros(0), server: f.u32(8), cell: f.u16(16), zone: f.u8(18), phase })
 }
 
 pub struct Reply {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -76,11 +76,9 @@
 struct Server {
     entry: Entry,
     listed: bool,
-    /// As last probed, with the weight that the list gave it then.
     load: f64,
     piled: f64,
     heard: Option<Micros>,
-    heard_weight: f64,
     /// Seconds that a message took there, and when this was told.
     delay: (f64, Micros),
     /// Probes and connects in a row without an answer, and since when.
@@ -136,8 +134,6 @@
     mean_load: f64,
     n: u32,
     firsts: Ring,
-    dials: Ring,
-    stood: Ring,
     probe_cursor: ServerId,
     watch_fails: u32,
 }
@@ -161,8 +157,6 @@
             mean_load: 0.0,
             n: 0,
             firsts: Ring::default(),
-            dials: Ring::default(),
-            stood: Ring::default(),
             probe_cursor: 0,
             watch_fails: 0,
         }
@@ -187,7 +181,6 @@
                 self.count(sess, 1);
             }
             Input::Stands { sess, dial } if self.current(sess, dial) => {
-                self.stood.add(now, 1.0);
                 self.play(sess, Stands, out);
                 self.room(out);
             }
@@ -312,27 +305,17 @@
         {
             return give_up;
         }
-        let wait = if waited { give_up } else { Wait };
-        if !self.set_up_has_room() {
-            return wait;
-        }
         match self.place(sess, &g) {
             Some((tier, _)) if tier > 0 && !waited && self.servers.values().any(Server::unheard) => Wait,
             Some((_, server)) => {
                 self.sessions.get_mut(&sess).expect("weighed above").server = server;
                 Enter
             }
-            None => wait,
+            None if waited => give_up,
+            None => Wait,
         }
     }
 
-    /// Dials go no faster than dials come to stand: a jam that all servers share (the store behind them)
-    /// is only fed by redials and by returning clients. A wave of good dials opens the way by itself.
-    fn set_up_has_room(&self) -> bool {
-        const BACK: Micros = 2 * SECOND;
-        self.dials.sum(self.now, BACK) < 8.0 + 4.0 * self.stood.sum(self.now, BACK)
-    }
-
     /// HEU, as on the design page.
     fn admits(&self, asked: &Asked, g: &Gauge) -> bool {
         // Part of the fleet kept for high utility. Tried 0.15, 0.25, 0.35: alike but for the reading of C.
@@ -389,13 +372,8 @@
         const LAG: Micros = SECOND;
         let age = self.now - v.heard.unwrap_or(self.now) + LAG;
         let since = v.net.sum(self.now, age) * f64::from(self.site.relays);
-        let live = if self.site.live_weights && v.entry.weight > 0.0 {
-            v.heard_weight / v.entry.weight
-        } else {
-            1.0
-        };
         let base = match v.heard {
-            Some(_) => v.load * live,
+            Some(_) => v.load,
             None => f64::from(v.own * self.site.relays) * g.step,
         };
         (base + self.piled(v) + g.step * since).max(0.0)
@@ -498,7 +476,6 @@
         let wait = if last { left } else { left.min(listener.handshake_target << s.dials.min(8)) };
         out.push(Effect::Dial { sess, server, wait });
         self.count(sess, 1);
-        self.dials.add(self.now, 1.0);
         let next = self.now + self.cold_pause(&self.servers[&server], &g);
         if let Some(v) = self.servers.get_mut(&server) {
             v.cold_next = next;
@@ -667,7 +644,7 @@
 
     fn hear(&mut self, now: Micros, report: Option<Report>) {
         if let Some((r, load)) = report.and_then(|r| Some((r, r.load?))) {
-            (self.heard, self.heard_weight) = (Some(now), self.entry.weight);
+            self.heard = Some(now);
             (self.load, self.piled) = (load, r.piled.unwrap_or(0.0));
         }
     }
--- a/src/types.rs
+++ b/src/types.rs
@@ -50,7 +50,6 @@
     pub must_watch: bool,
     pub may_probe: bool,
     pub groups: bool,
-    pub live_weights: bool,
     pub most_dials: u32,
     pub max_open: u32,
     /// Longest retry-after that a client heeds; none where it is not conveyed.
@@ -89,7 +88,6 @@
     pub phase: Phase,
     /// Clock time of the last start; 0 is long ago.
     pub came_up: Micros,
-    pub weight: f64,
     pub zone: u8,
     pub cell: u16,
 }
