--- a/src/logic.rs
+++ b/src/logic.rs
@@ -229,7 +229,7 @@
     fn weight(&self, s: &Sess) -> f64 {
         let known = s.load > 0.0 && self.mean_load > 0.0;
         if known {
-            (s.load / self.mean_load).clamp(0.1, 10.0)
+            (s.load / self.mean_load).clamp(0.3, 3.0)
         } else {
             1.0
         }
