--- a/src/logic.rs
+++ b/src/logic.rs
@@ -3,6 +3,7 @@
 //! effects it appends, in order. Inputs, effects and site facts are defined in `types.rs`; the design
 //! page is `docs/design.md`. Nothing here reads a clock, and instances share nothing.
 
+use crate::tools::{mix, Chance, Ring};
 use crate::types::*;
 use std::collections::BTreeMap;
 use {Act::*, Sign::*, State::*};
@@ -43,35 +44,6 @@
 
 const SECOND: Micros = 1_000_000;
 
-/// Sums over the last moments, in fixed buckets of time that are used again in a ring.
-#[derive(Default)]
-struct Ring {
-    last: u64,
-    slots: [f32; Ring::SLOTS as usize],
-}
-
-impl Ring {
-    /// Eight seconds in all: long enough for rates, short enough to forget a trouble that is over.
-    const SLOTS: u64 = 16;
-    const WIDTH: Micros = SECOND / 2;
-
-    fn add(&mut self, now: Micros, x: f64) {
-        let bucket = now / Ring::WIDTH;
-        for b in self.last.max(bucket.saturating_sub(Ring::SLOTS)) + 1..=bucket {
-            self.slots[(b % Ring::SLOTS) as usize] = 0.0;
-        }
-        self.last = self.last.max(bucket);
-        self.slots[(bucket % Ring::SLOTS) as usize] += x as f32;
-    }
-
-    /// The sum since `back` ago, to the bucket, and no further back than the ring reaches.
-    fn sum(&self, now: Micros, back: Micros) -> f64 {
-        let first = (now / Ring::WIDTH + 1).saturating_sub(Ring::SLOTS);
-        let oldest = (now.saturating_sub(back) / Ring::WIDTH).max(first);
-        (oldest..=self.last).map(|b| f64::from(self.slots[(b % Ring::SLOTS) as usize])).sum()
-    }
-}
-
 #[derive(Default)]
 struct Server {
     entry: Entry,
@@ -119,9 +91,10 @@
     step: f64,
 }
 
+#[derive(Default)]
 pub struct Relay {
     site: SiteFacts,
-    rng: oorandom::Rand64,
+    rng: Chance,
     now: Micros,
     started: Option<Micros>,
     servers: BTreeMap<ServerId, Server>,
@@ -144,22 +117,7 @@
 
 impl Relay {
     pub fn new(site: SiteFacts, seed: u64) -> Relay {
-        Relay {
-            site,
-            rng: oorandom::Rand64::new(u128::from(seed)),
-            now: 0,
-            started: None,
-            servers: BTreeMap::new(),
-            sessions: BTreeMap::new(),
-            held: Vec::new(),
-            groups: BTreeMap::new(),
-            away: BTreeMap::new(),
-            mean_load: 0.0,
-            n: 0,
-            firsts: Ring::default(),
-            probe_cursor: 0,
-            watch_fails: 0,
-        }
+        Relay { site, rng: Chance::new(seed), ..Relay::default() }
     }
 
     pub fn step(&mut self, now: Micros, input: Input, out: &mut Vec<Effect>) {
@@ -227,12 +185,7 @@
 
     /// How heavy a session is against the mean, as far as it was told.
     fn weight(&self, s: &Sess) -> f64 {
-        let known = s.load > 0.0 && self.mean_load > 0.0;
-        if known {
-            (s.load / self.mean_load).clamp(0.3, 3.0)
-        } else {
-            1.0
-        }
+        (if s.load > 0.0 && self.mean_load > 0.0 { s.load / self.mean_load } else { 1.0 }).clamp(0.3, 3.0)
     }
 
     /// The loop that reads the table: each sign leads to an effect, which may find the next sign.
@@ -251,7 +204,12 @@
                 Weigh => next = Some(self.weigh(sess)),
                 Dial => self.dial(sess, out),
                 Hold => self.hold(sess, out),
-                Refuse => out.push(Effect::Refuse { sess, retry_after: self.retry_after() }),
+                Refuse => {
+                    // By then reports are refreshed; spread, so that refused clients do not come as one.
+                    let after = SECOND / 2 + self.rng.below(SECOND);
+                    let retry_after = after.min(self.site.retry_after.unwrap_or(0));
+                    out.push(Effect::Refuse { sess, retry_after });
+                }
                 TearDown => out.push(Effect::TearDown { sess }),
                 Move => out.push(Effect::Move { sess }),
                 Nothing => {}
@@ -334,7 +292,7 @@
     }
 
     fn gauge(&self) -> Gauge {
-        // How C is read: a server's part that can be filled before messages miss their target. Tried 0.7, 0.85, 1.
+        // How C is read: a server's part that can be filled before messages are late. Tried 0.7, 0.85, 1.
         const USABLE: f64 = 0.85;
         let mut g = Gauge::default();
         let answering = || self.servers.values().filter(|v| v.ready() && v.misses == 0 && v.heard.is_some());
@@ -366,16 +324,14 @@
         v.piled.max(if self.now - v.delay.1 < TOLD { v.delay.0 } else { 0.0 })
     }
 
-    /// The probed load, brought up to now by what this relay has placed since, times the relays that do alike.
+    /// The probed load, brought up to now by what this relay placed since, times the relays that do alike.
     fn load_now(&self, v: &Server, g: &Gauge) -> f64 {
         // Reports are refreshed and travel for about this long before an answer carries them.
         const LAG: Micros = SECOND;
         let age = self.now - v.heard.unwrap_or(self.now) + LAG;
         let since = v.net.sum(self.now, age) * f64::from(self.site.relays);
-        let base = match v.heard {
-            Some(_) => v.load,
-            None => f64::from(v.own * self.site.relays) * g.step,
-        };
+        let unheard = f64::from(v.own * self.site.relays) * g.step;
+        let base = v.heard.map_or(unheard, |_| v.load);
         (base + self.piled(v) + g.step * since).max(0.0)
     }
 
@@ -388,8 +344,8 @@
         // A group's cost on a server, in sessions.
         const GROUP: f64 = 2.0;
         let lost = (-SHARP * (1.0 - load)).exp();
-        let first =
-            self.site.groups && asked.group != 0 && !self.groups.contains_key(&(v.entry.server, asked.group));
+        let grouped = self.site.groups && asked.group != 0;
+        let first = grouped && !self.groups.contains_key(&(v.entry.server, asked.group));
         // Relays that share nothing meet at the same servers: those that a hash of both ids ranks first.
         let rank = mix(asked.group ^ (u64::from(v.entry.server) << 32)) as f64 / u64::MAX as f64;
         let weight = if first { 1.0 + GROUP * (0.5 + rank) } else { 1.0 };
@@ -401,14 +357,11 @@
     fn tier(&self, v: &Server, tried: &[ServerId]) -> u8 {
         // An answer serves for a few probe rounds; then it says nothing about now.
         const FRESH: Micros = 10 * SECOND;
-        if v.misses > 0 {
-            3
-        } else if tried.contains(&v.entry.server) || self.shunned(v) {
-            2
-        } else if self.congested(v) || v.heard.is_none_or(|t| self.now - t > FRESH) {
-            1
-        } else {
-            0
+        match v {
+            _ if v.misses > 0 => 3,
+            _ if tried.contains(&v.entry.server) || self.shunned(v) => 2,
+            _ if self.congested(v) || v.heard.is_none_or(|t| self.now - t > FRESH) => 1,
+            _ => 0,
         }
     }
 
@@ -422,47 +375,33 @@
     fn place(&mut self, sess: SessId, g: &Gauge) -> Option<(u8, ServerId)> {
         let s = &self.sessions[&sess];
         let repeat = self.site.listeners[s.asked.listener].repeat;
-        let mut best: Option<(u8, f64, ServerId)> = None;
-        let mut ties = 0;
+        let open = |v: &&Server| self.now >= self.cold_until(v) || self.now >= v.cold_next;
         let mut rng = self.rng;
-        for v in self.servers.values().filter(|v| v.ready() && legal(repeat, s, &v.entry, self.now)) {
-            if self.now < self.cold_until(v) && self.now < v.cold_next {
-                continue;
-            }
-            let tier = self.tier(v, &s.tried);
+        let may = self.servers.values().filter(|v| v.ready() && legal(repeat, s, &v.entry, self.now));
+        let ranked = may.filter(open).map(|v| {
             let cost = self.cost(v, &s.asked, self.load_now(v, g));
-            let order =
-                best.map_or(std::cmp::Ordering::Less, |(t, c, _)| (tier.cmp(&t)).then(cost.total_cmp(&c)));
-            ties = if order.is_eq() { ties + 1 } else { 1 };
-            if order.is_lt() || (order.is_eq() && rng.rand_range(0..ties) == 0) {
-                best = Some((tier, cost, v.entry.server));
-            }
-        }
+            (self.tier(v, &s.tried), cost, rng.draw(), v.entry.server)
+        });
+        let best = ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
         self.rng = rng;
-        best.map(|(tier, _, server)| (tier, server))
+        best.map(|(tier, _, _, server)| (tier, server))
     }
 
     fn cold_until(&self, v: &Server) -> Micros {
-        let start = v.came_up();
-        if start == 0 {
-            0
-        } else {
-            start + self.site.cold
-        }
+        v.came_up() + self.site.cold * u64::from(v.came_up() > 0)
     }
 
     /// Rule 4: this relay's part of a cold server's budget, as the time until it may send again.
     fn cold_pause(&self, v: &Server, g: &Gauge) -> Micros {
-        // Half of the part, since the capacity is a guess.
+        // Half of this relay's part, since the capacity is a guess.
         const MARGIN: f64 = 0.5;
         let age = self.now.saturating_sub(v.came_up()) as f64;
         let warmth = self.site.cold_from + (1.0 - self.site.cold_from) * age / self.site.cold.max(1) as f64;
-        // What fills a warm server each second: first sessions of all relays over the load they make.
+        // What fills a warm server: the rate of first sessions over the load they make. Relays take alike,
+        // so their number falls out of this one's part.
         let back = self.since_start().clamp(SECOND, 8 * SECOND);
-        let rate =
-            self.firsts.sum(self.now, back) / back as f64 * f64::from(self.site.relays) / g.x_busy.max(0.1);
-        let part = self.site.fall_multiple * warmth * rate * MARGIN / f64::from(self.site.relays);
-        (1.0 / part.max(1e-9)).min(1e9) as Micros
+        let rate = self.firsts.sum(self.now, back) / back as f64 / g.x_busy.max(0.1);
+        (1.0 / (self.site.fall_multiple * warmth * rate * MARGIN).max(1e-9)) as Micros
     }
 
     fn dial(&mut self, sess: SessId, out: &mut Vec<Effect>) {
@@ -487,8 +426,8 @@
         let s = self.sessions.get_mut(&sess).expect("the table plays a session that is there");
         if s.held_until.is_none() {
             // A wait for first answers and no longer: half of the handshake target leaves time to dial.
-            let wait =
-                (self.site.listeners[s.asked.listener].handshake_target / 2).min((s.due - self.now) / 2);
+            let target = self.site.listeners[s.asked.listener].handshake_target;
+            let wait = target.min(s.due - self.now) / 2;
             s.held_until = Some(self.now + wait);
             out.push(Effect::Alarm { after: wait, label: HELD });
         }
@@ -516,16 +455,11 @@
         v.hear(self.now, report);
     }
 
-    fn retry_after(&mut self) -> Micros {
-        // A report's refresh from now there is news; spread, so that refused clients do not come as one.
-        (SECOND / 2 + self.rng.rand_range(0..SECOND)).min(self.site.retry_after.unwrap_or(0))
-    }
-
     fn list(&mut self, kind: ListKind, entries: Vec<Entry>, out: &mut Vec<Effect>) {
         if kind == ListKind::Failed {
             // Ask again, more and more slowly, spread over the relays: the list is one service for all.
             self.watch_fails = (self.watch_fails + 1).min(3);
-            let after = (SECOND << self.watch_fails) / 2 + self.rng.rand_range(0..SECOND);
+            let after = (SECOND << self.watch_fails) / 2 + self.rng.below(SECOND);
             return out.push(Effect::Alarm { after, label: WATCH });
         }
         self.watch_fails = 0;
@@ -591,14 +525,11 @@
         const FULL: f64 = 0.75;
         // What a move must gain beyond its price: the gap, the set-up, and the doubt about old answers.
         const DOUBT: f64 = 0.15;
-        let g = self.gauge();
-        let load = self.load_now(&self.servers[&server], &g);
-        if load < FULL || !self.servers[&server].ready() {
-            return;
-        }
         // What was moved shows in reports only after this; until then nothing more is moved.
         const SHOWN: Micros = 2 * SECOND;
-        if self.now - self.servers[&server].relieved < SHOWN {
+        let (g, v) = (self.gauge(), &self.servers[&server]);
+        let load = self.load_now(v, &g);
+        if load < FULL || !v.ready() || self.now - v.relieved < SHOWN {
             return;
         }
         let open = self.sessions.iter().filter(|(_, s)| s.server == server && s.state == Open);
@@ -609,17 +540,13 @@
         let mean = (g.x_busy / g.c.max(1.0)).min(FULL);
         let mut excess = (load - mean) / 2.0 / f64::from(self.site.relays);
         for (sess, weight) in mine {
-            if weight * part > excess {
-                continue;
-            }
-            let asked = self.sessions[&sess].asked;
-            let here = self.cost(&self.servers[&server], &asked, load.min(1.2));
-            let others = self.servers.values().filter(|v| v.ready() && self.tier(v, &[]) == 0);
-            let there = others
-                .filter(|v| self.now >= self.cold_until(v))
-                .map(|v| self.cost(v, &asked, self.load_now(v, &g) + g.step * weight))
-                .min_by(f64::total_cmp);
-            if there.is_some_and(|there| here - there > self.site.price_move + DOUBT) {
+            let asked = &self.sessions[&sess].asked;
+            let here = self.cost(&self.servers[&server], asked, load.min(1.2));
+            let warm = self.servers.values().filter(|v| v.ready() && self.now >= self.cold_until(v));
+            let others = warm.filter(|v| self.tier(v, &[]) == 0);
+            let costs = others.map(|v| self.cost(v, asked, self.load_now(v, &g) + g.step * weight));
+            let gain = here - costs.fold(f64::INFINITY, f64::min);
+            if weight * part <= excess && gain > self.site.price_move + DOUBT {
                 excess -= weight * part;
                 self.play(sess, Hot, out);
                 self.servers.get_mut(&server).expect("just read").relieved = self.now;
@@ -669,10 +596,3 @@
         }
     }
 }
-
-/// Spreads ids evenly (the finaliser of splitmix64).
-fn mix(mut x: u64) -> u64 {
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
--- a/src/types.rs
+++ b/src/types.rs
@@ -40,7 +40,7 @@
 }
 
 /// What the site tells an instance at its start.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct SiteFacts {
     pub listeners: Vec<Listener>,
     pub tenants: Vec<Tenant>,
