--- a/src/logic.rs
+++ b/src/logic.rs
@@ -82,7 +82,7 @@
     load: f64,
 }
 
-/// The fleet as HEU sees it, and one own session's mean part of a server.
+/// The fleet as HEU sees it, and one session's mean part of a server.
 #[derive(Default)]
 struct Gauge {
     c: f64,
@@ -100,8 +100,7 @@
     servers: BTreeMap<ServerId, Server>,
     sessions: BTreeMap<SessId, Sess>,
     held: Vec<SessId>,
-    /// Own open sessions of a group at a server.
-    groups: BTreeMap<(ServerId, u64), u32>,
+    groups: BTreeMap<(ServerId, u64), u32>, // own open sessions of a group at a server
     /// Loads of sessions that were cut off or moved, by the key with which they come again.
     away: BTreeMap<u64, f64>,
     mean_load: f64,
@@ -162,8 +161,7 @@
             Input::Alarm { label: PROBE } => self.beat(out),
             Input::Alarm { label: WATCH } => out.push(Effect::Watch),
             Input::Alarm { .. } => self.room(out),
-            // Word of a dial that is not the session's last, or of a session that is over.
-            Input::Stands { .. } | Input::DialEnded { .. } => {}
+            Input::Stands { .. } | Input::DialEnded { .. } => {} // of a dial or a session that is over
         }
     }
 
@@ -206,8 +204,8 @@
                 Hold => self.hold(sess, out),
                 Refuse => {
                     // By then reports are refreshed; spread, so that refused clients do not come as one.
-                    let after = SECOND / 2 + self.rng.below(SECOND);
-                    let retry_after = after.min(self.site.retry_after.unwrap_or(0));
+                    let news = SECOND / 2 + self.rng.below(SECOND);
+                    let retry_after = self.site.retry_after.map_or(0, |most| news.min(most));
                     out.push(Effect::Refuse { sess, retry_after });
                 }
                 TearDown => out.push(Effect::TearDown { sess }),
@@ -269,8 +267,7 @@
                 self.sessions.get_mut(&sess).expect("weighed above").server = server;
                 Enter
             }
-            None if waited => give_up,
-            None => Wait,
+            None => give_up,
         }
     }
 
@@ -330,8 +327,7 @@
         const LAG: Micros = SECOND;
         let age = self.now - v.heard.unwrap_or(self.now) + LAG;
         let since = v.net.sum(self.now, age) * f64::from(self.site.relays);
-        let unheard = f64::from(v.own * self.site.relays) * g.step;
-        let base = v.heard.map_or(unheard, |_| v.load);
+        let base = v.heard.map_or(f64::from(v.own * self.site.relays) * g.step, |_| v.load);
         (base + self.piled(v) + g.step * since).max(0.0)
     }
 
@@ -426,10 +422,9 @@
         let s = self.sessions.get_mut(&sess).expect("the table plays a session that is there");
         if s.held_until.is_none() {
             // A wait for first answers and no longer: half of the handshake target leaves time to dial.
-            let target = self.site.listeners[s.asked.listener].handshake_target;
-            let wait = target.min(s.due - self.now) / 2;
-            s.held_until = Some(self.now + wait);
-            out.push(Effect::Alarm { after: wait, label: HELD });
+            let after = self.site.listeners[s.asked.listener].handshake_target.min(s.due - self.now) / 2;
+            s.held_until = Some(self.now + after);
+            out.push(Effect::Alarm { after, label: HELD });
         }
         self.held.push(sess);
     }
@@ -466,10 +461,13 @@
         if kind == ListKind::Full {
             self.servers.values_mut().for_each(|v| v.listed = false);
         }
+        // A server that has just started takes least: the relays begin there one by one, each in its window.
+        let first_turn = self.now + self.site.fall * u64::from(self.site.slot);
         for entry in entries {
             let v = self.servers.entry(entry.server).or_default();
             if entry.came_up > v.entry.came_up {
                 (v.load, v.piled) = (0.0, 0.0);
+                v.cold_next = first_turn;
             }
             (v.entry, v.listed) = (entry, true);
             if v.unheard() && self.site.may_probe {
@@ -485,21 +483,20 @@
         let ready = self.servers.values().filter(|v| v.ready()).count().max(1) as f64;
         let back = self.since_start().clamp(5 * SECOND, 8 * SECOND);
         let rate = (self.firsts.sum(self.now, back) / (back as f64 / 1e6)).max(0.5);
-        let young = self.since_start() < 3 * SECOND;
-        let round = if young { 1.0 } else { ready * self.site.price_probe / (rate * SPEND) };
+        let longest = if self.since_start() < 3 * SECOND { 1.0 } else { 8.0 };
+        let round = ready * self.site.price_probe / (rate * SPEND);
         // Reports are not refreshed much faster than twice a second; past eight seconds they say little.
-        let after = (round.clamp(0.5, 8.0) / ready * 1e6) as Micros;
+        let after = (round.clamp(0.5, longest) / ready * 1e6) as Micros;
         out.push(Effect::Alarm { after, label: PROBE });
-        let mut ready = self.servers.values().filter(|v| v.ready()).map(|v| v.entry.server);
-        let first = ready.next();
-        let next = first.into_iter().chain(ready).find(|&id| id > self.probe_cursor).or(first);
-        if let Some(server) = next {
-            self.probe_cursor = server;
+        let later = self.servers.range(self.probe_cursor..).chain(&self.servers).find(|(_, v)| v.ready());
+        if let Some((&server, _)) = later {
+            self.probe_cursor = server.wrapping_add(1);
             out.push(Effect::Probe { server });
         }
     }
 
     fn probed(&mut self, server: ServerId, end: DialEnd, report: Option<Report>, out: &mut Vec<Effect>) {
+        let first_turn = self.now + self.site.fall * u64::from(self.site.slot);
         let Some(v) = self.servers.get_mut(&server) else { return };
         match end {
             DialEnd::Ok => {}
@@ -511,7 +508,7 @@
         const SILENCE: Micros = 2 * SECOND;
         let load = report.and_then(|r| r.load).unwrap_or(0.0);
         if v.misses > 1 && self.now - v.dark_since > SILENCE && load < 0.3 * v.load {
-            v.restarted = self.now;
+            (v.restarted, v.cold_next) = (self.now, first_turn);
         }
         v.misses = 0;
         v.hear(self.now, report);
--- /dev/null
+++ b/tests/scenarios.rs
@@ -0,0 +1,252 @@
+//! Plays the text scenarios of `tests/scenarios/` against the module alone. A scenario is a list of lines:
+//!   `site NAME=VALUE ..`        facts that differ from the default site (first line, optional)
+//!   `MS INPUT ..`               an input at that time; alarms that are due are played before it
+//!   `=> EFFECT`                 what this must have led to: all effects on sessions, in order, or `none`
+//! `#` starts a comment. Probes and alarms are checked only where a line `=> probe SERVER` asks for them.
+use hallrelay::logic::Relay;
+use hallrelay::types::*;
+use std::collections::BTreeMap;
+
+type Fault = String;
+const LISTENERS: [&str; 5] = ["low", "high", "once", "ref", "ref-cell"];
+
+fn site() -> SiteFacts {
+    let listener =
+        |utility, repeat| Listener { utility, repeat, handshake_target: 300_000, message_target: 60_000 };
+    let referenced = |within| Repeat::Referenced { within, window: 1_000_000 };
+    SiteFacts {
+        listeners: vec![
+            listener(1.0, Repeat::Repeatable),
+            listener(5.0, Repeat::Repeatable),
+            listener(5.0, Repeat::OnceOnly),
+            listener(5.0, referenced(Within::All)),
+            listener(5.0, referenced(Within::Cell)),
+        ],
+        relays: 1,
+        may_probe: true,
+        groups: true,
+        most_dials: 4,
+        max_open: 1000,
+        cold: 10_000_000,
+        cold_from: 0.2,
+        fall: 1_000_000,
+        fall_multiple: 3.0,
+        ..SiteFacts::default()
+    }
+}
+
+fn num<T: std::str::FromStr>(word: &str) -> Result<T, Fault> {
+    word.parse().map_err(|_| format!("'{word}' is not a number"))
+}
+
+fn option<'a>(words: &'a [&str], key: &str) -> Option<&'a str> {
+    words.iter().find_map(|w| w.strip_prefix(key)?.strip_prefix('='))
+}
+
+fn millis(word: &str) -> Result<Micros, Fault> {
+    Ok((num::<f64>(word)? * 1000.0) as Micros)
+}
+
+fn set_site(site: &mut SiteFacts, words: &[&str]) -> Result<(), Fault> {
+    for word in words {
+        let (key, value) = word.split_once('=').ok_or(format!("'{word}' is not NAME=VALUE"))?;
+        match key {
+            "relays" => site.relays = num(value)?,
+            "dials" => site.most_dials = num(value)?,
+            "slot" => site.slot = num(value)?,
+            "max_open" => site.max_open = num(value)?,
+            "retry_after" => site.retry_after = Some(millis(value)?),
+            "watch" => site.must_watch = num(value)?,
+            "price_crossing" => site.price_crossing = num(value)?,
+            _ => return Err(format!("unknown site fact '{key}'")),
+        }
+    }
+    Ok(())
+}
+
+fn entry(word: &str) -> Result<Entry, Fault> {
+    let mut parts = word.split(':');
+    let mut e = Entry { server: num(parts.next().unwrap_or(""))?, phase: Phase::Ready, ..Entry::default() };
+    for part in parts {
+        match part.split_once('=').unwrap_or((part, "")) {
+            ("draining", _) => e.phase = Phase::Draining,
+            ("gone", _) => e.phase = Phase::Gone,
+            ("up", at) => e.came_up = millis(at)?,
+            ("zone", zone) => e.zone = num(zone)?,
+            ("cell", cell) => e.cell = num(cell)?,
+            _ => return Err(format!("unknown mark '{part}'")),
+        }
+    }
+    Ok(e)
+}
+
+fn asked(words: &[&str], listener: &str) -> Result<Asked, Fault> {
+    let place = LISTENERS.iter().position(|l| *l == listener);
+    Ok(Asked {
+        listener: place.ok_or(format!("unknown listener '{listener}'"))?,
+        group: option(words, "group").map_or(Ok(0), num)?,
+        returned: words.contains(&"returned"),
+        left: option(words, "left").map_or(Ok(2_000_000), millis)?,
+        ..Asked::default()
+    })
+}
+
+fn dial_end(word: &str) -> Result<DialEnd, Fault> {
+    use DialEnd::*;
+    let words = ["ok", "error", "full", "timeout", "unconnected", "reset", "recalled", "moot"];
+    let ends = [Ok, Error, Full, Timeout, Unconnected, Reset, Recalled, Moot];
+    let place = words.iter().position(|w| *w == word).ok_or(format!("unknown outcome '{word}'"))?;
+    Result::Ok(ends[place])
+}
+
+/// `7` or `7..9`, both ends included.
+fn range(word: &str) -> Result<std::ops::RangeInclusive<u32>, Fault> {
+    let (from, to) = word.split_once("..").unwrap_or((word, word));
+    Ok(num(from)?..=num(to)?)
+}
+
+/// The inputs of one line; none for `run`, which only lets time pass.
+fn inputs(words: &[&str]) -> Result<Vec<Input>, Fault> {
+    let at = |i: usize| words.get(i).copied().ok_or(format!("'{}' is too short", words.join(" ")));
+    let list = |kind| -> Result<Vec<Input>, Fault> {
+        let entries = words[2..].iter().map(|w| entry(w)).collect::<Result<_, _>>()?;
+        Ok(vec![Input::List { kind, entries }])
+    };
+    let each = |make: &dyn Fn(u32) -> Result<Input, Fault>| range(at(1)?)?.map(make).collect();
+    match at(0)? {
+        "run" => Ok(vec![]),
+        "list" if at(1)? == "full" => list(ListKind::Full),
+        "list" if at(1)? == "changes" => list(ListKind::Changes),
+        "list" if at(1)? == "failed" => list(ListKind::Failed),
+        "ask" => {
+            let asked = asked(words, at(2)?)?;
+            each(&|sess| Ok(Input::Asked { sess, asked }))
+        }
+        "open" => {
+            let (asked, server) = (asked(words, at(2)?)?, num(at(3)?)?);
+            each(&|sess| Ok(Input::AlreadyOpen { sess, server, asked }))
+        }
+        "stands" => each(&|sess| Ok(Input::Stands { sess, dial: num(at(2)?)? })),
+        "left" => each(&|sess| Ok(Input::Left { sess })),
+        "delay" => each(&|sess| Ok(Input::Delay { sess, delay: num(at(2)?)? })),
+        "end" => each(&|sess| {
+            let (dial, settled) = (num(at(2)?)?, words.contains(&"settled"));
+            Ok(Input::DialEnded { sess, dial, end: dial_end(at(3)?)?, settled, report: None })
+        }),
+        "alarm" => Ok(vec![Input::Alarm { label: num(at(1)?)? }]),
+        "probe" => {
+            let value = |key| option(words, key).map(num).transpose();
+            let report = Report { load: value("load")?, piled: value("piled")?, errors: None };
+            let end = if at(2)?.contains('=') { DialEnd::Ok } else { dial_end(at(2)?)? };
+            each(&|server| Ok(Input::Probed { server, end, report: Some(report) }))
+        }
+        other => Err(format!("unknown input '{other}'")),
+    }
+}
+
+fn shown(effect: &Effect) -> String {
+    match effect {
+        Effect::Dial { sess, server, .. } => format!("dial {sess} at {server}"),
+        Effect::Refuse { sess, retry_after: 0 } => format!("refuse {sess}"),
+        Effect::Refuse { sess, .. } => format!("refuse {sess} with retry-after"),
+        Effect::TearDown { sess } => format!("tear down {sess}"),
+        Effect::Move { sess } => format!("move {sess}"),
+        Effect::Probe { server } => format!("probe {server}"),
+        Effect::Watch => "watch".to_string(),
+        Effect::Alarm { .. } => "alarm".to_string(),
+    }
+}
+
+struct Play {
+    relay: Relay,
+    alarms: BTreeMap<(Micros, usize), u32>,
+    effects: Vec<Effect>,
+}
+
+impl Play {
+    fn step(&mut self, now: Micros, input: Input) {
+        let mut out = Vec::new();
+        self.relay.step(now, input, &mut out);
+        for effect in &out {
+            if let Effect::Alarm { after, label } = *effect {
+                self.alarms.insert((now + after, self.alarms.len()), label);
+            }
+        }
+        self.effects.append(&mut out);
+    }
+
+    fn until(&mut self, now: Micros) {
+        while let Some((&key, &label)) = self.alarms.first_key_value().filter(|(k, _)| k.0 < now) {
+            self.alarms.remove(&key);
+            self.step(key.0, Input::Alarm { label });
+        }
+    }
+
+    /// Checks the effects since the last input against the lines that follow it.
+    fn check(&self, wanted: &[&str]) -> Result<(), Fault> {
+        let asked = |line: &str| wanted.contains(&line);
+        let told: Vec<String> = self.effects.iter().map(shown).collect();
+        let told = told.iter().filter(|l| asked(l) || !(l.starts_with("probe") || *l == "alarm"));
+        let told: Vec<&str> = told.map(String::as_str).collect();
+        let wanted: Vec<&str> = wanted.iter().copied().filter(|l| *l != "none").collect();
+        let same = told == wanted;
+        same.then_some(()).ok_or(format!("wanted {wanted:?}, got {told:?}"))
+    }
+}
+
+fn play(text: &str) -> Result<(), (usize, Fault)> {
+    let lines = text.lines().enumerate().map(|(i, l)| (i + 1, l.split('#').next().unwrap_or("").trim()));
+    let lines: Vec<(usize, &str)> = lines.filter(|(_, l)| !l.is_empty()).collect();
+    let (mut facts, mut checks) = (site(), 0);
+    let mut play = None;
+    for (i, &(number, line)) in lines.iter().enumerate() {
+        let fault = |what: Fault| (number, what);
+        let words: Vec<&str> = line.split_whitespace().collect();
+        if words[0] == "site" && play.is_none() {
+            set_site(&mut facts, &words[1..]).map_err(fault)?;
+        } else if words[0] != "=>" {
+            let now = millis(words[0]).map_err(fault)?;
+            let made =
+                || Play { relay: Relay::new(facts.clone(), 7), alarms: BTreeMap::new(), effects: vec![] };
+            let p = play.get_or_insert_with(made);
+            p.effects.clear();
+            p.until(now);
+            inputs(&words[1..]).map_err(fault)?.into_iter().for_each(|input| p.step(now, input));
+            let follow = lines[i + 1..].iter().map_while(|(_, l)| l.strip_prefix("=>"));
+            let wanted: Vec<&str> = follow.map(str::trim).collect();
+            if !wanted.is_empty() {
+                checks += 1;
+                p.check(&wanted).map_err(fault)?;
+            }
+        } else if play.is_none() {
+            return Err(fault("an effect before any input".to_string()));
+        }
+    }
+    (checks > 0).then_some(()).ok_or((lines.len(), "checks nothing".to_string()))
+}
+
+#[test]
+fn all_scenarios() {
+    let folder = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/scenarios");
+    let files =
+        std::fs::read_dir(folder).expect("the scenarios' folder").map(|f| f.expect("an entry").path());
+    let mut files: Vec<_> = files.filter(|f| f.extension().is_some_and(|e| e == "txt")).collect();
+    files.sort();
+    assert!(!files.is_empty(), "no scenario matches tests/scenarios/*.txt");
+    let faults = files.iter().filter_map(|file| {
+        let text = std::fs::read_to_string(file).expect("a readable scenario");
+        let (line, what) = play(&text).err()?;
+        Some(format!("{}:{line}: {what}", file.display()))
+    });
+    let faults: Vec<String> = faults.collect();
+    assert!(faults.is_empty(), "{}", faults.join("\n"));
+}
+
+#[test]
+fn the_runner_names_what_is_wrong() {
+    let line = |text| play(text).map_err(|(line, _)| line);
+    assert_eq!(line("0 list full 1\n0 asq 7 low"), Err(2));
+    assert_eq!(line("0 list full 1\n1 ask 7 low"), Err(2), "checks nothing");
+    assert_eq!(line("0 list full 1\n5 ask 7 low\n=> refuse 7"), Err(2), "an effect that does not come");
+    assert_eq!(line("site colour=red"), Err(1));
+}
