--- a/src/logic.rs
+++ b/src/logic.rs
@@ -338,7 +338,7 @@
         // How sharply service falls as a server fills: the messages that fit into their target.
         const SHARP: f64 = 6.0;
         // A group's cost on a server, in sessions.
-        const GROUP: f64 = 2.0;
+        const GROUP: f64 = 4.0;
         let lost = (-SHARP * (1.0 - load)).exp();
         let grouped = self.site.groups && asked.group != 0;
         let first = grouped && !self.groups.contains_key(&(v.entry.server, asked.group));
