--- a/src/logic.rs
+++ b/src/logic.rs
@@ -16,7 +16,7 @@
 /// What happened to a session, told from outside or found by weighing it.
 #[rustfmt::skip]
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Sign { Enter, Wait, Shut, Stuck, Room, Stands, Fell, Settled, Left, Hot }
+enum Sign { Enter, Wait, Shut, Stuck, Room, Stands, Fell, Settled, Hot }
 
 #[rustfmt::skip]
 #[derive(Clone, Copy)]
@@ -30,16 +30,13 @@
     (Weighed, Shut, Over, Refuse),
     (Weighed, Stuck, Over, TearDown),
     (Held, Room, Weighed, Weigh),
-    (Held, Left, Over, Nothing),
+    (Held, Settled, Over, Nothing),
     (Dialling, Stands, Open, Nothing),
     (Dialling, Fell, Weighed, Weigh),
     (Dialling, Settled, Over, Nothing),
-    (Dialling, Left, Over, Nothing),
     (Open, Settled, Over, Nothing),
-    (Open, Left, Over, Nothing),
     (Open, Hot, Leaving, Move),
     (Leaving, Settled, Over, Nothing),
-    (Leaving, Left, Over, Nothing),
 ];
 
 const SECOND: Micros = 1_000_000;
@@ -156,7 +153,7 @@
                 let server = self.sessions.get(&sess).and_then(|s| self.servers.get_mut(&s.server));
                 server.into_iter().for_each(|v| v.delay = (delay, now));
             }
-            Input::Left { sess } => self.play(sess, Left, out),
+            Input::Left { sess } => self.play(sess, Settled, out),
             Input::Probed { server, end, report } => self.probed(server, end, report, out),
             Input::Alarm { label: PROBE } => self.beat(out),
             Input::Alarm { label: WATCH } => out.push(Effect::Watch),
@@ -167,7 +164,6 @@
 
     fn take(&mut self, sess: SessId, mut s: Sess) {
         s.due = self.now + s.asked.left;
-        s.dialled = self.now;
         s.load = self.away.remove(&s.asked.key).unwrap_or(0.0);
         s.asked.listener = s.asked.listener.min(self.site.listeners.len() - 1);
         self.sessions.insert(sess, s);
@@ -277,17 +273,20 @@
         const K_RESERVED: f64 = 0.15;
         let c_id = f64::from(self.site.max_open);
         let (t_servers, t_id) = (g.c * (1.0 - K_RESERVED), c_id * (1.0 - K_RESERVED));
-        let n = f64::from(self.n);
-        let utilities = self.site.listeners.iter().map(|l| l.utility);
-        let (low, top) = utilities.fold((f64::MAX, 0.0f64), |(a, b), u| (a.min(u), b.max(u)));
-        // The set utility from which a listener counts as high: halfway, so that any two are told apart.
-        let high = self.site.listeners[asked.listener].utility >= (low + top) / 2.0;
+        let (n, high) = (f64::from(self.n), self.high(asked));
         // With no server that answers there is nothing to test: placement finds what may still live.
         g.c == 0.0
             || (n < t_id && g.x_busy < t_servers - g.x_cong)
             || (high && n < c_id && g.x_busy < g.c - g.x_cong)
     }
 
+    /// The set utility from which a listener counts as high: halfway, so that any two are told apart.
+    fn high(&self, asked: &Asked) -> bool {
+        let utilities = self.site.listeners.iter().map(|l| l.utility);
+        let (low, top) = utilities.fold((f64::MAX, 0.0f64), |(a, b), u| (a.min(u), b.max(u)));
+        self.site.listeners[asked.listener].utility >= (low + top) / 2.0
+    }
+
     fn gauge(&self) -> Gauge {
         // How C is read: a server's part that can be filled before messages are late. Tried 0.7, 0.85, 1.
         const USABLE: f64 = 0.85;
@@ -393,8 +392,7 @@
         const MARGIN: f64 = 0.5;
         let age = self.now.saturating_sub(v.came_up()) as f64;
         let warmth = self.site.cold_from + (1.0 - self.site.cold_from) * age / self.site.cold.max(1) as f64;
-        // What fills a warm server: the rate of first sessions over the load they make. Relays take alike,
-        // so their number falls out of this one's part.
+        // What fills a warm server is the rate of first sessions over the load they make: this relay's part.
         let back = self.since_start().clamp(SECOND, 8 * SECOND);
         let rate = self.firsts.sum(self.now, back) / back as f64 / g.x_busy.max(0.1);
         (1.0 / (self.site.fall_multiple * warmth * rate * MARGIN).max(1e-9)) as Micros
@@ -412,10 +410,9 @@
         out.push(Effect::Dial { sess, server, wait });
         self.count(sess, 1);
         let next = self.now + self.cold_pause(&self.servers[&server], &g);
-        if let Some(v) = self.servers.get_mut(&server) {
-            v.cold_next = next;
-            v.dials.add(self.now, 1.0);
-        }
+        let v = self.servers.get_mut(&server).expect("just read");
+        v.cold_next = next;
+        v.dials.add(self.now, 1.0);
     }
 
     fn hold(&mut self, sess: SessId, out: &mut Vec<Effect>) {
@@ -520,7 +517,7 @@
     fn relieve(&mut self, server: ServerId, out: &mut Vec<Effect>) {
         // Below this load nothing is gained by a move.
         const FULL: f64 = 0.75;
-        // What a move must gain beyond its price: the gap, the set-up, and the doubt about old answers.
+        // What a move must gain beyond its price: gap, set-up, and the doubt about old answers.
         const DOUBT: f64 = 0.15;
         // What was moved shows in reports only after this; until then nothing more is moved.
         const SHOWN: Micros = 2 * SECOND;
@@ -529,21 +526,25 @@
         if load < FULL || !v.ready() || self.now - v.relieved < SHOWN {
             return;
         }
+        // Guards a slow-down that all share: no server is better, and on a congested one nobody is served, so
+        // some are cut off, low utility first, so that the rest is served, and come back to the thresholds.
+        let shed = load > 1.0 && self.congested(v) && g.x_cong > g.c / 2.0;
         let open = self.sessions.iter().filter(|(_, s)| s.server == server && s.state == Open);
         let mut mine: Vec<(SessId, f64)> = open.map(|(&id, s)| (id, self.weight(s))).collect();
-        mine.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
+        mine.sort_by(|a, b| b.1.total_cmp(&a.1));
+        mine.sort_by_key(|m| shed && self.high(&self.sessions[&m.0].asked));
         let part = load / mine.iter().map(|m| m.1).sum::<f64>().max(1.0) / f64::from(self.site.relays);
-        // This relay's part of half the way down to the others' mean, heaviest first.
+        // This relay's part of the way down to the others' mean, half of it where they can take more.
         let mean = (g.x_busy / g.c.max(1.0)).min(FULL);
-        let mut excess = (load - mean) / 2.0 / f64::from(self.site.relays);
+        let mut excess = (load - mean) / f64::from(self.site.relays) * if shed { 1.0 } else { 0.5 };
         for (sess, weight) in mine {
             let asked = &self.sessions[&sess].asked;
             let here = self.cost(&self.servers[&server], asked, load.min(1.2));
-            let warm = self.servers.values().filter(|v| v.ready() && self.now >= self.cold_until(v));
-            let others = warm.filter(|v| self.tier(v, &[]) == 0);
+            let usable = |v: &&Server| v.ready() && self.now >= self.cold_until(v) && self.tier(v, &[]) == 0;
+            let others = self.servers.values().filter(usable);
             let costs = others.map(|v| self.cost(v, asked, self.load_now(v, &g) + g.step * weight));
             let gain = here - costs.fold(f64::INFINITY, f64::min);
-            if weight * part <= excess && gain > self.site.price_move + DOUBT {
+            if weight * part <= excess && (shed || gain > self.site.price_move + DOUBT) {
                 excess -= weight * part;
                 self.play(sess, Hot, out);
                 self.servers.get_mut(&server).expect("just read").relieved = self.now;
@@ -562,8 +563,8 @@
     }
 
     fn miss(&mut self, now: Micros) {
-        self.dark_since = if self.misses == 0 { now } else { self.dark_since };
-        self.misses += 1;
+        (self.dark_since, self.misses) =
+            (if self.misses > 0 { self.dark_since } else { now }, self.misses + 1);
     }
 
     fn hear(&mut self, now: Micros, report: Option<Report>) {
