--- a/src/logic.rs
+++ b/src/logic.rs
@@ -126,7 +126,6 @@
         match input {
             Input::List { kind, entries } => self.list(kind, entries, out),
             Input::Asked { sess, asked } => {
-                self.firsts.add(now, f64::from(u8::from(!asked.returned)));
                 self.take(sess, Sess { asked, ..Sess::default() });
                 self.play(sess, Room, out);
             }
@@ -403,6 +402,7 @@
         let s = self.sessions.get_mut(&sess).expect("the table plays a session that is there");
         (s.dials, s.dialled) = (s.dials + 1, self.now);
         s.tried.push(s.server);
+        let first = s.dials == 1 && !s.asked.returned;
         let (server, left, listener) = (s.server, s.due - self.now, &self.site.listeners[s.asked.listener]);
         // A dial gets its handshake target, doubled with each dial; the last one all that is left.
         let last = s.dials >= self.site.most_dials || listener.repeat != Repeat::Repeatable;
@@ -410,6 +410,8 @@
         out.push(Effect::Dial { sess, server, wait });
         self.count(sess, 1);
         let next = self.now + self.cold_pause(&self.servers[&server], &g);
+        // Once admitted, not as asked: who is refused asks often, and would pass for a fleet of great capacity.
+        self.firsts.add(self.now, f64::from(u8::from(first)));
         let v = self.servers.get_mut(&server).expect("just read");
         v.cold_next = next;
         v.dials.add(self.now, 1.0);
