--- a/src/logic.rs
+++ b/src/logic.rs
@@ -102,6 +102,7 @@
     away: BTreeMap<u64, f64>,
     mean_load: f64,
     n: u32,
+    asks: Ring,
     firsts: Ring,
     probe_cursor: ServerId,
     watch_fails: u32,
@@ -126,6 +127,7 @@
         match input {
             Input::List { kind, entries } => self.list(kind, entries, out),
             Input::Asked { sess, asked } => {
+                self.asks.add(now, f64::from(u8::from(!asked.returned)));
                 self.take(sess, Sess { asked, ..Sess::default() });
                 self.play(sess, Room, out);
             }
@@ -232,9 +234,7 @@
         if let Some(v) = self.servers.get_mut(&s.server) {
             v.own = v.own.saturating_add_signed(by);
             // A quick dropper must not look the idler for each session that it drops.
-            if !s.dropped {
-                v.net.add(self.now, f64::from(by) * weight);
-            }
+            v.net.add(self.now, if s.dropped { 0.0 } else { f64::from(by) * weight });
         }
     }
 
@@ -387,14 +387,12 @@
 
     /// Rule 4: this relay's part of a cold server's budget, as the time until it may send again.
     fn cold_pause(&self, v: &Server, g: &Gauge) -> Micros {
-        // Half of this relay's part, since the capacity is a guess.
-        const MARGIN: f64 = 0.5;
         let age = self.now.saturating_sub(v.came_up()) as f64;
         let warmth = self.site.cold_from + (1.0 - self.site.cold_from) * age / self.site.cold.max(1) as f64;
         // What fills a warm server is the rate of first sessions over the load they make: this relay's part.
         let back = self.since_start().clamp(SECOND, 8 * SECOND);
         let rate = self.firsts.sum(self.now, back) / back as f64 / g.x_busy.max(0.1);
-        (1.0 / (self.site.fall_multiple * warmth * rate * MARGIN).max(1e-9)) as Micros
+        (1.0 / (self.site.fall_multiple * warmth * rate).max(1e-9)) as Micros
     }
 
     fn dial(&mut self, sess: SessId, out: &mut Vec<Effect>) {
@@ -410,7 +408,7 @@
         out.push(Effect::Dial { sess, server, wait });
         self.count(sess, 1);
         let next = self.now + self.cold_pause(&self.servers[&server], &g);
-        // Once admitted, not as asked: who is refused asks often, and would pass for a fleet of great capacity.
+        // As admitted, not as asked: who is refused asks often and would pass for capacity.
         self.firsts.add(self.now, f64::from(u8::from(first)));
         let v = self.servers.get_mut(&server).expect("just read");
         v.cold_next = next;
@@ -481,7 +479,7 @@
         const SPEND: f64 = 0.008;
         let ready = self.servers.values().filter(|v| v.ready()).count().max(1) as f64;
         let back = self.since_start().clamp(5 * SECOND, 8 * SECOND);
-        let rate = (self.firsts.sum(self.now, back) / (back as f64 / 1e6)).max(0.5);
+        let rate = (self.asks.sum(self.now, back) / (back as f64 / 1e6)).max(0.5);
         let longest = if self.since_start() < 3 * SECOND { 1.0 } else { 8.0 };
         let round = ready * self.site.price_probe / (rate * SPEND);
         // Reports are not refreshed much faster than twice a second; past eight seconds they say little.
