--- a/src/logic.rs
+++ b/src/logic.rs
@@ -56,6 +56,7 @@
     /// When a restart was last seen, by the list or by a silence that ended; 0 is long ago.
     restarted: Micros,
     cold_next: Micros,
+    asked: Micros,
     relieved: Micros,
     own: u32,
     net: Ring,
@@ -104,7 +105,6 @@
     n: u32,
     asks: Ring,
     firsts: Ring,
-    probe_cursor: ServerId,
     watch_fails: u32,
 }
 
@@ -485,9 +485,11 @@
         // Reports are not refreshed much faster than twice a second; past eight seconds they say little.
         let after = (round.clamp(0.5, longest) / ready * 1e6) as Micros;
         out.push(Effect::Alarm { after, label: PROBE });
-        let later = self.servers.range(self.probe_cursor..).chain(&self.servers).find(|(_, v)| v.ready());
-        if let Some((&server, _)) = later {
-            self.probe_cursor = server.wrapping_add(1);
+        // The longest unasked first; a congested server's answer ages three times as fast, as it bars the door.
+        let age = |v: &Server| (self.now - v.asked) * if self.congested(v) { 3 } else { 1 };
+        let next = self.servers.values().filter(|v| v.ready()).max_by_key(|v| age(v));
+        if let Some(server) = next.map(|v| v.entry.server) {
+            self.servers.get_mut(&server).expect("just read").asked = self.now;
             out.push(Effect::Probe { server });
         }
     }
