--- a/src/logic.rs
+++ b/src/logic.rs
@@ -40,6 +40,8 @@
 ];
 
 const SECOND: Micros = 1_000_000;
+/// Reports are refreshed and travel for about this long before an answer carries them. Tried 0.5 to 2 s.
+const LAG: Micros = SECOND;
 
 #[derive(Default)]
 struct Server {
@@ -321,8 +323,6 @@
 
     /// The probed load, brought up to now by what this relay placed since, times the relays that do alike.
     fn load_now(&self, v: &Server, g: &Gauge) -> f64 {
-        // Reports are refreshed and travel for about this long before an answer carries them.
-        const LAG: Micros = SECOND;
         let age = self.now - v.heard.unwrap_or(self.now) + LAG;
         let since = v.net.sum(self.now, age) * f64::from(self.site.relays);
         let base = v.heard.map_or(f64::from(v.own * self.site.relays) * g.step, |_| v.load);
@@ -521,12 +521,10 @@
         const FULL: f64 = 0.75;
         // What a move must gain beyond its price: gap, set-up, and the doubt about old answers.
         const DOUBT: f64 = 0.15;
-        // What was moved shows in reports only after this; until then nothing more is moved.
-        const SHOWN: Micros = 2 * SECOND;
         let (g, v) = (self.gauge(), &self.servers[&server]);
         let load = self.load_now(v, &g);
-        if load < FULL || !v.ready() || self.now - v.relieved < SHOWN {
-            return;
+        if load < FULL || !v.ready() || self.now - v.relieved < LAG {
+            return; // what was moved does not show yet
         }
         // Guards a slow-down that all share: no server is better, and on a congested one nobody is served, so
         // some are cut off, low utility first, so that the rest is served, and come back to the thresholds.
