--- a/src/logic.rs
+++ b/src/logic.rs
@@ -106,7 +106,6 @@
     mean_load: f64,
     n: u32,
     asks: Ring,
-    firsts: Ring,
     watch_fails: u32,
 }
 
@@ -389,9 +388,8 @@
     fn cold_pause(&self, v: &Server, g: &Gauge) -> Micros {
         let age = self.now.saturating_sub(v.came_up()) as f64;
         let warmth = self.site.cold_from + (1.0 - self.site.cold_from) * age / self.site.cold.max(1) as f64;
-        // What fills a warm server is the rate of first sessions over the load they make: this relay's part.
-        let back = self.since_start().clamp(SECOND, 8 * SECOND);
-        let rate = self.firsts.sum(self.now, back) / back as f64 / g.x_busy.max(0.1);
+        // What a server holds when full, taken in over a whole warm-up: this relay's part of that rate.
+        let rate = f64::from(self.n) / g.x_busy.max(0.1) / self.site.cold.max(1) as f64;
         (1.0 / (self.site.fall_multiple * warmth * rate).max(1e-9)) as Micros
     }
 
@@ -400,7 +398,6 @@
         let s = self.sessions.get_mut(&sess).expect("the table plays a session that is there");
         (s.dials, s.dialled) = (s.dials + 1, self.now);
         s.tried.push(s.server);
-        let first = s.dials == 1 && !s.asked.returned;
         let (server, left, listener) = (s.server, s.due - self.now, &self.site.listeners[s.asked.listener]);
         // A dial gets its handshake target, doubled with each dial; the last one all that is left.
         let last = s.dials >= self.site.most_dials || listener.repeat != Repeat::Repeatable;
@@ -408,8 +405,6 @@
         out.push(Effect::Dial { sess, server, wait });
         self.count(sess, 1);
         let next = self.now + self.cold_pause(&self.servers[&server], &g);
-        // As admitted, not as asked: who is refused asks often and would pass for capacity.
-        self.firsts.add(self.now, f64::from(u8::from(first)));
         let v = self.servers.get_mut(&server).expect("just read");
         v.cold_next = next;
         v.dials.add(self.now, 1.0);
