--- a/src/logic.rs
+++ b/src/logic.rs
@@ -212,8 +212,11 @@
             }
             if to == Over {
                 let s = self.sessions.remove(&sess).expect("played above");
-                // Kept for those alone that come again at once, so a small table does.
-                if s.load > 0.0 && (from == Leaving || s.dropped) && self.away.len() < 1000 {
+                if s.load > 0.0 && (from == Leaving || s.dropped) {
+                    // They come again at once or never: a full table holds the latter, and is emptied.
+                    if self.away.len() >= 1000 {
+                        self.away.clear();
+                    }
                     self.away.insert(s.asked.key, s.load);
                 }
             }
@@ -466,6 +469,8 @@
                 out.push(Effect::Probe { server: entry.server });
             }
         }
+        // What is gone is forgotten with its last session, or a long life would gather all there ever were.
+        self.servers.retain(|_, v| v.own > 0 || (v.listed && v.entry.phase != Phase::Gone));
     }
 
     /// One probe, and the time of the next: spread evenly over the round, as often as their price allows.
@@ -480,7 +485,7 @@
         // Reports are not refreshed much faster than twice a second; past eight seconds they say little.
         let after = (round.clamp(0.5, longest) / ready * 1e6) as Micros;
         out.push(Effect::Alarm { after, label: PROBE });
-        // The longest unasked first; a congested server's answer ages three times as fast, as it bars the door.
+        // The longest unasked first; a congested server's answer ages three times as fast: it bars the door.
         let age = |v: &Server| (self.now - v.asked) * if self.congested(v) { 3 } else { 1 };
         let next = self.servers.values().filter(|v| v.ready()).max_by_key(|v| age(v));
         if let Some(server) = next.map(|v| v.entry.server) {
