--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -170,7 +170,7 @@
             5 => Input::Stands { sess: f.u32(3), dial: u32::from(f.u16(19)) },
             6 => {
                 let kind = match f.u8(3) {
-                    0 => ListKind::Failed,
+                    0 => ListKind::Broken,
                     1 | 3 => ListKind::Full,
                     2 => ListKind::Changes,
                     k => return Err(what(format!("unknown list kind {k}"))),
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -446,7 +446,7 @@
     }
 
     fn list(&mut self, kind: ListKind, entries: Vec<Entry>, out: &mut Vec<Effect>) {
-        if kind == ListKind::Failed {
+        if kind == ListKind::Broken {
             // Ask again, more and more slowly, spread over the relays: the list is one service for all.
             self.watch_fails = (self.watch_fails + 1).min(3);
             let after = (SECOND << self.watch_fails) / 2 + self.rng.below(SECOND);
@@ -526,8 +526,8 @@
         if load < FULL || !v.ready() || self.now - v.relieved < LAG {
             return; // what was moved does not show yet
         }
-        // Guards a slow-down that all share: no server is better, and on a congested one nobody is served, so
-        // some are cut off, low utility first, so that the rest is served, and come back to the thresholds.
+        // Guards a slow-down that all share: no server is better, on a congested one no message is in time,
+        // so some are cut off, low utility first, for the rest to be well, and come back to the thresholds.
         let shed = load > 1.0 && self.congested(v) && g.x_cong > g.c / 2.0;
         let open = self.sessions.iter().filter(|(_, s)| s.server == server && s.state == Open);
         let mut mine: Vec<(SessId, f64)> = open.map(|(&id, s)| (id, self.weight(s))).collect();
--- a/src/types.rs
+++ b/src/types.rs
@@ -96,8 +96,8 @@
 pub enum ListKind {
     Full,
     Changes,
-    /// The call failed, or the watch broke.
-    Failed,
+    /// The call got no answer, or the watch broke.
+    Broken,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -117,7 +117,7 @@
         "run" => Ok(vec![]),
         "list" if at(1)? == "full" => list(ListKind::Full),
         "list" if at(1)? == "changes" => list(ListKind::Changes),
-        "list" if at(1)? == "failed" => list(ListKind::Failed),
+        "list" if at(1)? == "broken" => list(ListKind::Broken),
         "ask" => {
             let asked = asked(words, at(2)?)?;
             each(&|sess| Ok(Input::Asked { sess, asked }))
