--- a/simhost/src/facts.rs
+++ b/simhost/src/facts.rs
@@ -1,6 +1,6 @@
 //! Turns an instance's settings, JSON text in the wire's words, into the module's site facts.
 use crate::wire::ReportOrder;
-use hallrelay::types::{Listener, Micros, Repeat, SiteFacts, Tenant, Within};
+use hallrelay::types::{Listener, Micros, Repeat, SiteFacts, Within};
 use serde_json::Value;
 
 /// A place in the settings, which knows its own path so that a complaint can name it.
@@ -80,22 +80,13 @@
         })
     };
     let listeners = top.key("Listeners")?.list()?;
-    let quotas = family.key("TenantQuotaConnections")?.list()?;
-    let tenant = |(i, _): (usize, &At)| -> Result<Tenant, String> {
-        Ok(Tenant { open_quota: quotas.get(i).filter(|at| !at.value.is_null()).map(At::num).transpose()? })
-    };
     let report = top.key("Report")?;
     report.key("How")?.word(&[("inline", ()), ("on_probe", ()), ("off", ())])?;
     let fields = report.key("Fields")?.list()?;
     let place = |name: &str| fields.iter().take(4).position(|at| at.value.as_str() == Some(name));
-    let order = ReportOrder {
-        load: place("x0").or_else(|| place("cpu_share")),
-        piled: place("x1"),
-        errors: place("failed_ps"),
-    };
+    let order = ReportOrder { load: place("x0").or_else(|| place("cpu_share")), piled: place("x1") };
     let site = SiteFacts {
         listeners: listeners.iter().enumerate().map(listener).collect::<Result<_, _>>()?,
-        tenants: top.key("Orgs")?.list()?.iter().enumerate().map(tenant).collect::<Result<_, _>>()?,
         relays: top.key("Instances")?.whole()?.max(1),
         slot: top.key("SlotNo")?.whole()?,
         zone: top.key("Zone")?.whole()? as u8,
--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -94,13 +94,12 @@
 pub struct ReportOrder {
     pub load: Option<usize>,
     pub piled: Option<usize>,
-    pub errors: Option<usize>,
 }
 
 impl ReportOrder {
     fn pick(self, raw: RawReport) -> Report {
         let at = |i: Option<usize>| i.and_then(|i| raw[i]);
-        Report { load: at(self.load), piled: at(self.piled), errors: at(self.errors) }
+        Report { load: at(self.load), piled: at(self.piled) }
     }
 }
 
@@ -144,18 +143,15 @@
         let f = Fields(&self.records[index * EVENT..(index + 1) * EVENT]);
         let what = |text: String| format!("batch {}, record {index}: {text}", self.number);
         let instance = f.u16(1);
-        let asked = |flags, listener, tenant, key, group, left| Asked {
+        let asked = |flags, listener, key, group, left| Asked {
             listener: f.u16(listener) as usize,
-            tenant: f.u32(tenant) as usize,
             key: f.u64(key),
             group: f.u64(group),
             returned: f.u8(flags) & 16 != 0,
             left: f.micros(left),
         };
         let input = match f.u8(0) {
-            0 => {
-                Input::AlreadyOpen { sess: f.u32(3), server: f.u32(22), asked: asked(21, 19, 15, 34, 26, 7) }
-            }
+            0 => Input::AlreadyOpen { sess: f.u32(3), server: f.u32(22), asked: asked(21, 19, 34, 26, 7) },
             1 => Input::Alarm { label: f.u32(3) },
             2 => {
                 let settings = self.tail(f, 11, 1, index)?;
@@ -179,7 +175,7 @@
                 let entries = bytes.chunks_exact(ENTRY).map(|b| entry(Fields(b)).map_err(what));
                 Input::List { kind, entries: entries.collect::<Result<_, _>>()? }
             }
-            7 => Input::Asked { sess: f.u32(3), asked: asked(7, 16, 18, 8, 22, 38) },
+            7 => Input::Asked { sess: f.u32(3), asked: asked(7, 16, 8, 22, 38) },
             8 if f.u8(13) == 1 => Input::Load { sess: f.u32(3), load: f.f32(14) },
             8 if f.u8(13) == 2 => Input::Delay { sess: f.u32(3), delay: f.f32(14) / 1000.0 },
             8 => return Ok((instance, Event::Unused)),
--- a/src/types.rs
+++ b/src/types.rs
@@ -33,17 +33,10 @@
     pub message_target: Micros,
 }
 
-/// A tenant's share, as far as it is told: sessions open at once over all relays.
-#[derive(Clone, Debug)]
-pub struct Tenant {
-    pub open_quota: Option<f64>,
-}
-
 /// What the site tells an instance at its start.
 #[derive(Clone, Debug, Default)]
 pub struct SiteFacts {
     pub listeners: Vec<Listener>,
-    pub tenants: Vec<Tenant>,
     pub relays: u32,
     pub slot: u32,
     pub zone: u8,
@@ -70,8 +63,6 @@
     pub load: Option<f64>,
     /// Work piled up, in seconds.
     pub piled: Option<f64>,
-    /// Errors a second.
-    pub errors: Option<f64>,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -119,7 +110,6 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Asked {
     pub listener: usize,
-    pub tenant: usize,
     /// The client's own mark: a session that comes again carries the same; 0 is none.
     pub key: u64,
     /// Sessions of one group share work on a server; 0 is none.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -136,7 +136,7 @@
         "alarm" => Ok(vec![Input::Alarm { label: num(at(1)?)? }]),
         "probe" => {
             let value = |key| option(words, key).map(num).transpose();
-            let report = Report { load: value("load")?, piled: value("piled")?, errors: None };
+            let report = Report { load: value("load")?, piled: value("piled")? };
             let end = if at(2)?.contains('=') { DialEnd::Ok } else { dial_end(at(2)?)? };
             each(&|server| Ok(Input::Probed { server, end, report: Some(report) }))
         }
