--- a/simhost/src/facts.rs
+++ b/simhost/src/facts.rs
@@ -102,7 +102,6 @@
         },
         cold: rules.key("Cold")?.micros()?,
         cold_from: rules.key("ColdFrom")?.num()?,
-        fall: rules.key("Fall")?.micros()?.max(1),
         fall_multiple: rules.key("FallMultiple")?.num()?,
         price_crossing: charges.key("CrossZone")?.num()?,
         price_move: charges.key("Moves")?.num()?,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -3,7 +3,7 @@
 //! effects it appends, in order. Inputs, effects and site facts are defined in `types.rs`; the design
 //! page is `docs/design.md`. Nothing here reads a clock, and instances share nothing.
 
-use crate::tools::{mix, Chance, Ring};
+use crate::tools::{mix, Chance, Flow, Least, Ring};
 use crate::types::*;
 use std::collections::BTreeMap;
 use {Act::*, Sign::*, State::*};
@@ -22,7 +22,7 @@
 #[derive(Clone, Copy)]
 enum Act { Weigh, Dial, Hold, Refuse, TearDown, Move, Nothing }
 
-/// State, input, next state, effect. What is not listed changes nothing: late and unknown inputs fall here.
+/// State, input, next state, effect. What is not listed changes nothing.
 const TABLE: &[(State, Sign, State, Act)] = &[
     (Weighed, Room, Weighed, Weigh),
     (Weighed, Enter, Dialling, Dial),
@@ -40,35 +40,38 @@
 ];
 
 const SECOND: Micros = 1_000_000;
+/// Below this load a server has room for all, and nothing is gained by a move.
+const FULL: f64 = 0.75;
+/// A group's cost on a server, in sessions. Tried 2 and 8.
+const GROUP: f64 = 4.0;
+/// Servers compared for a session: enough to miss what is full, few enough to be asked. Tried 3, 4 and 6.
+const POOL: usize = 3;
 /// Reports are refreshed and travel for about this long before an answer carries them. Tried 0.5 to 2 s.
 const LAG: Micros = SECOND;
 
 #[derive(Default)]
 struct Server {
     entry: Entry,
-    listed: bool,
     load: f64,
     piled: f64,
     heard: Option<Micros>,
     /// Seconds that a message took there, and when this was told.
     delay: (f64, Micros),
-    /// Probes and connects in a row without an answer, and since when.
+    /// Probes and connects in a row without an answer.
     misses: u32,
-    dark_since: Micros,
-    /// When a restart was last seen, by the list or by a silence that ended; 0 is long ago.
-    restarted: Micros,
-    cold_next: Micros,
+    /// From when this relay's part of the cold budget runs, and what part of a pause its next turn takes.
+    turn: (Micros, f64),
     asked: Micros,
+    awaited: bool,
     relieved: Micros,
-    own: u32,
-    net: Ring,
-    dials: Ring,
-    faults: Ring,
+    flow: Flow,
 }
 
 #[derive(Default)]
 struct Sess {
     asked: Asked,
+    /// What its pool is ranked by: its group, or chance.
+    salt: u64,
     due: Micros,
     state: State,
     server: ServerId,
@@ -77,18 +80,23 @@
     tried: Vec<ServerId>,
     /// The first dial that may have run, and where.
     ran: Option<(Micros, u8, u16)>,
-    held_until: Option<Micros>,
-    dropped: bool,
-    load: f64,
+    /// Servers whose answers it waits for, and until when: half of the handshake target leaves time to dial.
+    waits: Vec<ServerId>,
+    wait_until: Micros,
+    /// How heavy it is against the mean, as far as it was told.
+    weight: f64,
 }
 
-/// The fleet as HEU sees it, and one session's mean part of a server.
-#[derive(Default)]
+/// The fleet as HEU sees it, the mean load of a server, one session's part of it, and how many relays do alike.
+#[derive(Clone, Copy, Default)]
 struct Gauge {
     c: f64,
     x_busy: f64,
     x_cong: f64,
+    mean: f64,
     step: f64,
+    alike: f64,
+    until: Micros,
 }
 
 #[derive(Default)]
@@ -96,16 +104,19 @@
     site: SiteFacts,
     rng: Chance,
     now: Micros,
-    started: Option<Micros>,
+    started: bool,
     servers: BTreeMap<ServerId, Server>,
     sessions: BTreeMap<SessId, Sess>,
     held: Vec<SessId>,
     groups: BTreeMap<(ServerId, u64), u32>, // own open sessions of a group at a server
-    /// Loads of sessions that were cut off or moved, by the key with which they come again.
-    away: BTreeMap<u64, f64>,
     mean_load: f64,
     n: u32,
-    asks: Ring,
+    net: Ring,
+    /// Piled-up work, in seconds, over which a server is congested.
+    bar: f64,
+    gauge: Gauge,
+    /// Probes that are paid for and not yet sent.
+    credit: f64,
     watch_fails: u32,
 }
 
@@ -115,20 +126,23 @@
 
 impl Relay {
     pub fn new(site: SiteFacts, seed: u64) -> Relay {
-        Relay { site, rng: Chance::new(seed), ..Relay::default() }
+        // Half over the target: late messages, not one late moment.
+        const ALPHA_CONG: f64 = 0.5;
+        let target = site.listeners.iter().map(|l| l.message_target).min().unwrap_or(SECOND) as f64 / 1e6;
+        // Before anything is known a session counts as a fiftieth of a server.
+        let (bar, gauge) = (target * (1.0 + ALPHA_CONG), Gauge { step: 0.02, ..Gauge::default() });
+        Relay { site, rng: Chance::new(seed), bar, gauge, ..Relay::default() }
     }
 
     pub fn step(&mut self, now: Micros, input: Input, out: &mut Vec<Effect>) {
         self.now = now;
-        if self.started.is_none() {
-            self.started = Some(now);
+        if !std::mem::replace(&mut self.started, true) {
             out.extend(self.site.must_watch.then_some(Effect::Watch));
             out.extend(self.site.may_probe.then_some(Effect::Alarm { after: 1, label: PROBE }));
         }
         match input {
             Input::List { kind, entries } => self.list(kind, entries, out),
             Input::Asked { sess, asked } => {
-                self.asks.add(now, f64::from(u8::from(!asked.returned)));
                 self.take(sess, Sess { asked, ..Sess::default() });
                 self.play(sess, Room, out);
             }
@@ -136,38 +150,44 @@
                 self.take(sess, Sess { asked, server, state: Open, dials: 1, ..Sess::default() });
                 self.count(sess, 1);
             }
-            Input::Stands { sess, dial } if self.current(sess, dial) => {
-                self.play(sess, Stands, out);
-                self.room(out);
-            }
+            Input::Stands { sess, .. } => self.play(sess, Stands, out),
             Input::DialEnded { sess, dial, end, settled, report } if self.current(sess, dial) => {
                 self.dial_ended(sess, end, report);
                 self.play(sess, if settled { Settled } else { Fell }, out);
             }
             Input::Load { sess, load } => {
-                if let Some(s) = self.sessions.get_mut(&sess) {
-                    s.load = load;
-                    // A running mean over some fifty notes, to tell a heavy session from a light one.
-                    self.mean_load += (load - self.mean_load) * if self.mean_load > 0.0 { 0.02 } else { 1.0 };
-                }
+                // A running mean over some fifty notes, to tell a heavy session from a light one.
+                self.mean_load += (load - self.mean_load) * if self.mean_load > 0.0 { 0.02 } else { 1.0 };
+                let weight = (load / self.mean_load.max(1e-9)).clamp(0.3, 3.0);
+                self.sessions.entry(sess).and_modify(|s| s.weight = weight);
             }
             Input::Delay { sess, delay } => {
-                let server = self.sessions.get(&sess).and_then(|s| self.servers.get_mut(&s.server));
-                server.into_iter().for_each(|v| v.delay = (delay, now));
+                let Some(server) = self.sessions.get(&sess).map(|s| s.server) else { return };
+                let Some(v) = self.servers.get_mut(&server) else { return };
+                v.delay = (delay, now);
+                self.relieve(server, out);
             }
             Input::Left { sess } => self.play(sess, Settled, out),
             Input::Probed { server, end, report } => self.probed(server, end, report, out),
             Input::Alarm { label: PROBE } => self.beat(out),
             Input::Alarm { label: WATCH } => out.push(Effect::Watch),
-            Input::Alarm { .. } => self.room(out),
-            Input::Stands { .. } | Input::DialEnded { .. } => {} // of a dial or a session that is over
+            Input::Alarm { .. } => self.room(None, out),
+            _ => {} // of a dial or a session that is over
         }
     }
 
     fn take(&mut self, sess: SessId, mut s: Sess) {
-        s.due = self.now + s.asked.left;
-        s.load = self.away.remove(&s.asked.key).unwrap_or(0.0);
         s.asked.listener = s.asked.listener.min(self.site.listeners.len() - 1);
+        let target = self.site.listeners[s.asked.listener].handshake_target;
+        (s.due, s.wait_until) = (self.now + s.asked.left, self.now + target.min(s.asked.left) / 2);
+        s.asked.group *= u64::from(self.site.groups);
+        (s.weight, s.salt) = (1.0, if s.asked.group != 0 { s.asked.group } else { self.rng.draw() });
+        // Each session pays for some probes, one that returns for half; eight rounds of the fleet at most are saved.
+        // They may cost this part of the result; beyond it fresher answers earn less than they cost.
+        const SPEND: f64 = 0.008;
+        let each = (SPEND / self.site.price_probe.max(1e-6)).min(4.0 * POOL as f64);
+        let paid = each * if s.asked.returned { 0.5 } else { 1.0 };
+        self.credit = (self.credit + paid).min(8.0 * self.servers.len().max(POOL) as f64);
         self.sessions.insert(sess, s);
     }
 
@@ -175,15 +195,6 @@
         self.sessions.get(&sess).is_some_and(|s| s.dials == dial + 1)
     }
 
-    fn since_start(&self) -> Micros {
-        self.now - self.started.unwrap_or(self.now)
-    }
-
-    /// How heavy a session is against the mean, as far as it was told.
-    fn weight(&self, s: &Sess) -> f64 {
-        (if s.load > 0.0 && self.mean_load > 0.0 { s.load / self.mean_load } else { 1.0 }).clamp(0.3, 3.0)
-    }
-
     /// The loop that reads the table: each sign leads to an effect, which may find the next sign.
     fn play(&mut self, sess: SessId, sign: Sign, out: &mut Vec<Effect>) {
         let booked = |state| matches!(state, Dialling | Open | Leaving);
@@ -203,7 +214,7 @@
                 Refuse => {
                     // By then reports are refreshed; spread, so that refused clients do not come as one.
                     let news = SECOND / 2 + self.rng.below(SECOND);
-                    let retry_after = self.site.retry_after.map_or(0, |most| news.min(most));
+                    let retry_after = news.min(self.site.retry_after.unwrap_or(0));
                     out.push(Effect::Refuse { sess, retry_after });
                 }
                 TearDown => out.push(Effect::TearDown { sess }),
@@ -211,14 +222,7 @@
                 Nothing => {}
             }
             if to == Over {
-                let s = self.sessions.remove(&sess).expect("played above");
-                if s.load > 0.0 && (from == Leaving || s.dropped) {
-                    // They come again at once or never: a full table holds the latter, and is emptied.
-                    if self.away.len() >= 1000 {
-                        self.away.clear();
-                    }
-                    self.away.insert(s.asked.key, s.load);
-                }
+                self.sessions.remove(&sess);
             }
         }
     }
@@ -226,57 +230,58 @@
     /// Books a session on its server, or off it: from the dial on, so that what is under way counts.
     fn count(&mut self, sess: SessId, by: i32) {
         let s = &self.sessions[&sess];
-        let weight = self.weight(s);
+        // What was open before stands in the reports already.
+        let weight = if by > 0 && s.state == Open { 0.0 } else { s.weight };
+        let (change, key) = (f64::from(by) * weight, (s.server, s.asked.group));
         self.n = self.n.saturating_add_signed(by);
-        if s.asked.group != 0 {
-            let members = self.groups.entry((s.server, s.asked.group)).or_insert(0);
-            *members = members.saturating_add_signed(by);
-            if *members == 0 {
-                self.groups.remove(&(s.server, s.asked.group));
-            }
+        self.net.add(self.now, change);
+        self.gauge.x_busy += change * self.gauge.alike * self.gauge.step;
+        let members = self.groups.entry(key).or_insert(0);
+        *members = members.saturating_add_signed(by);
+        if *members == 0 || key.1 == 0 {
+            self.groups.remove(&key);
         }
-        if let Some(v) = self.servers.get_mut(&s.server) {
-            v.own = v.own.saturating_add_signed(by);
-            // A quick dropper must not look the idler for each session that it drops.
-            v.net.add(self.now, if s.dropped { 0.0 } else { f64::from(by) * weight });
+        if let Some(v) = self.servers.get_mut(&key.0) {
+            v.flow.net.add(self.now, change);
         }
     }
 
     /// What a session may expect now: a dial, a short wait, or its final answer at once.
     fn weigh(&mut self, sess: SessId) -> Sign {
+        let g = self.gauge();
         let s = &self.sessions[&sess];
         // Rule 2: a refusal says that trying again is harmless, which is so only where nothing ran unknown.
-        let refusable = match self.site.listeners[s.asked.listener].repeat {
-            Repeat::Repeatable => true,
-            Repeat::Referenced { within, .. } => s.ran.is_none() || within == Within::All,
-            Repeat::OnceOnly => s.ran.is_none(),
-        };
-        let give_up = if refusable { Shut } else { Stuck };
-        let waited = s.held_until.is_some_and(|until| self.now >= until);
-        let g = self.gauge();
-        if self.now >= s.due
-            || s.dials >= self.site.most_dials
-            || (s.dials == 0 && !self.admits(&s.asked, &g))
-        {
-            return give_up;
-        }
-        match self.place(sess, &g) {
-            Some((tier, _)) if tier > 0 && !waited && self.servers.values().any(Server::unheard) => Wait,
-            Some((_, server)) => {
-                self.sessions.get_mut(&sess).expect("weighed above").server = server;
-                Enter
-            }
-            None => give_up,
+        let repeat = self.site.listeners[s.asked.listener].repeat;
+        let known = matches!(repeat, Repeat::Repeatable | Repeat::Referenced { within: Within::All, .. });
+        let give_up = if known || s.ran.is_none() { Shut } else { Stuck };
+        let over = self.now >= s.due || s.dials >= self.site.most_dials;
+        let shut = over || (s.dials == 0 && !self.admits(&s.asked, &g));
+        let pool = if shut { vec![] } else { self.pool(s, &g) };
+        // A wait for answers younger than the last change, where probes are paid for.
+        let asks = |v: &Server| v.misses == 0 && v.heard.is_none_or(|t| self.now - t > LAG);
+        let paid = |v: &Server| self.site.may_probe && (v.awaited || self.credit >= 1.0);
+        let mut waits = pool.clone();
+        waits.retain(|id| asks(&self.servers[id]) && paid(&self.servers[id]));
+        if !waits.is_empty() && self.now < s.wait_until {
+            self.sessions.entry(sess).and_modify(|s| s.waits = waits);
+            return Wait;
         }
+        let costs = pool.iter().enumerate().map(|(i, id)| {
+            let v = &self.servers[id];
+            (self.tier(v, &s.tried), self.cost(v, s, self.load_now(v, &g), i, 0), *id)
+        });
+        let best = costs.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        let Some((.., server)) = best else { return give_up };
+        self.sessions.entry(sess).and_modify(|s| s.server = server);
+        Enter
     }
 
     /// HEU, as on the design page.
     fn admits(&self, asked: &Asked, g: &Gauge) -> bool {
         // Part of the fleet kept for high utility. Tried 0.15, 0.25, 0.35: alike but for the reading of C.
         const K_RESERVED: f64 = 0.15;
-        let c_id = f64::from(self.site.max_open);
+        let (n, c_id, high) = (f64::from(self.n), f64::from(self.site.max_open), self.high(asked));
         let (t_servers, t_id) = (g.c * (1.0 - K_RESERVED), c_id * (1.0 - K_RESERVED));
-        let (n, high) = (f64::from(self.n), self.high(asked));
         // With no server that answers there is nothing to test: placement finds what may still live.
         g.c == 0.0
             || (n < t_id && g.x_busy < t_servers - g.x_cong)
@@ -290,115 +295,125 @@
         self.site.listeners[asked.listener].utility >= (low + top) / 2.0
     }
 
-    fn gauge(&self) -> Gauge {
+    /// Read from the servers with fresh answers, as a sample of all that are ready and not silent.
+    fn gauge(&mut self) -> Gauge {
         // How C is read: a server's part that can be filled before messages are late. Tried 0.7, 0.85, 1.
         const USABLE: f64 = 0.85;
-        let mut g = Gauge::default();
-        let answering = || self.servers.values().filter(|v| v.ready() && v.misses == 0 && v.heard.is_some());
-        let probed: f64 = answering().map(|v| v.load.min(1.0)).sum();
-        // Before anything is known a session counts as a fiftieth of a server.
-        let open = f64::from(self.n * self.site.relays);
-        g.step = if probed > 0.0 { (probed / open.max(1.0)).clamp(0.002, 0.05) } else { 0.02 };
-        for v in answering() {
-            g.c += USABLE;
+        // Read again with each answer; in between, what is let in is booked at once.
+        if self.now < self.gauge.until {
+            return self.gauge;
+        }
+        let (mut all, mut sums) = (0.0, [0.0; 5]);
+        for v in self.servers.values().filter(|v| v.ready() && v.misses == 0) {
+            all += 1.0;
+            if v.heard.is_some() || self.piled(v) > self.bar {
+                let (age, cong) = (self.now - v.heard.unwrap_or(self.now), self.tier(v, &[]) > 0);
+                let one =
+                    [1.0, (v.load + self.piled(v)).min(1.0), v.load, f64::from(u8::from(cong)), age as f64];
+                sums.iter_mut().zip(one).for_each(|(sum, x)| *sum += x);
+            }
+        }
+        let [k, load, asked, cong, age] = sums;
+        // All relays do alike, but the fewer its sessions the more is a relay's own change mere chance.
+        let alike = f64::from(self.site.relays) * f64::from(self.n) / (f64::from(self.n) + 8.0);
+        let mut g = Gauge { until: self.now + SECOND / 4, step: self.gauge.step, alike, ..Gauge::default() };
+        if k > 0.0 {
+            (g.c, g.mean, g.x_cong) = (USABLE * all, load / k, cong / k * all);
+            // A running mean over some seconds: in a storm of dials or on emptied servers a moment's is far off.
+            let step = (asked / k * all / f64::from(self.n * self.site.relays).max(1.0)).clamp(0.002, 0.05);
+            g.step += (step - g.step) * if self.gauge.c > 0.0 { 0.08 } else { 1.0 };
             // What was let in since the answers counts too, or a thaw lets all who wait in at once.
-            g.x_busy += self.load_now(v, &g).min(1.0);
-            g.x_cong += f64::from(u8::from(self.congested(v)));
+            let since = self.net.sum(self.now, (age / k) as Micros + LAG);
+            g.x_busy = (g.mean * all + since * alike * g.step).max(0.0);
         }
+        self.gauge = g;
         g
     }
 
-    fn congested(&self, v: &Server) -> bool {
-        // Half over the target: late messages, not one late moment.
-        const ALPHA_CONG: f64 = 0.5;
-        let target = self.site.listeners.iter().map(|l| l.message_target).min().unwrap_or(SECOND);
-        // What drops sessions is no place for more, however idle each drop makes it look.
-        self.piled(v) * 1e6 > target as f64 * (1.0 + ALPHA_CONG) || self.shunned(v)
-    }
-
-    /// The work piled up: as probed, or as a message of an open session felt it, which is told at once.
+    /// The work piled up: as probed, or as a message of an open session felt it; it counts only while it is news.
     fn piled(&self, v: &Server) -> f64 {
-        // Told anew each second while it lasts.
-        const TOLD: Micros = 2 * SECOND;
-        v.piled.max(if self.now - v.delay.1 < TOLD { v.delay.0 } else { 0.0 })
+        // Delays are told anew each second while they last.
+        let news = |then: Micros| f64::from(u8::from(self.now - then < 2 * SECOND));
+        (v.piled * v.heard.map_or(0.0, news)).max(v.delay.0 * news(v.delay.1))
     }
 
     /// The probed load, brought up to now by what this relay placed since, times the relays that do alike.
+    /// A server that was never heard is taken for the mean.
     fn load_now(&self, v: &Server, g: &Gauge) -> f64 {
-        let age = self.now - v.heard.unwrap_or(self.now) + LAG;
-        let since = v.net.sum(self.now, age) * f64::from(self.site.relays);
-        let base = v.heard.map_or(f64::from(v.own * self.site.relays) * g.step, |_| v.load);
-        (base + self.piled(v) + g.step * since).max(0.0)
+        // On one server all do alike still less: no more than four, tried 2 and 8.
+        let since = v.flow.net.sum(self.now, v.heard.map_or(0, |t| self.now - t) + LAG);
+        let base = v.heard.map_or(g.mean, |_| v.load) + self.piled(v) + g.step * since * g.alike.min(4.0);
+        // Where messages are late all is taken, whatever an older answer says.
+        base.max(f64::from(u8::from(self.piled(v) > self.bar)))
+    }
+
+    /// The servers that a session may go to, best first: by tier, then whether they are full or across a priced
+    /// crossing, then by a hash of group and server, which all relays share without a word.
+    fn pool(&self, s: &Sess, g: &Gauge) -> Vec<ServerId> {
+        let mut best = Least::new(POOL);
+        for v in self.servers.values().filter(|v| v.ready()) {
+            let crossing = v.entry.zone != self.site.zone && self.site.price_crossing > 0.0;
+            let hash = mix(s.salt ^ (u64::from(v.entry.server) << 32));
+            // Most servers rank too low at their best, and cost no more than that.
+            let may = || self.legal(s, &v.entry) && self.cold_open(v, g);
+            if best.takes(&(0, false, crossing, hash, v.entry.server)) && may() {
+                let full = self.load_now(v, g) >= FULL;
+                best.add((self.tier(v, &s.tried), full, crossing, hash, v.entry.server));
+            }
+        }
+        best.into_iter().map(|b| b.4).collect()
     }
 
-    /// The lowest load over capacity, told as what one more session there costs: the part of service that
-    /// it loses itself and that others lose. A group's first session on a server weighs more; so does a
-    /// crossing. Without groups and prices the order is that of load alone.
-    fn cost(&self, v: &Server, asked: &Asked, load: f64) -> f64 {
+    /// Rule 2: whether a session may be dialled at a server, after what may have run already.
+    fn legal(&self, s: &Sess, at: &Entry) -> bool {
+        let Some((since, zone, cell)) = s.ran else { return true };
+        match self.site.listeners[s.asked.listener].repeat {
+            Repeat::Repeatable => true,
+            Repeat::OnceOnly => false,
+            Repeat::Referenced { within, window } => {
+                let near = (within != Within::Zone || zone == at.zone)
+                    && (within != Within::Cell || cell == at.cell);
+                near && self.now < since + window
+            }
+        }
+    }
+
+    /// Load over capacity, told as what one more session costs: the service that it loses and that others lose, the
+    /// price of a crossing, and a group's cost, the likelier the later in the pool, but not beside others of its own.
+    fn cost(&self, v: &Server, s: &Sess, load: f64, place: usize, itself: u32) -> f64 {
         // How sharply service falls as a server fills: the messages that fit into their target.
         const SHARP: f64 = 6.0;
-        // A group's cost on a server, in sessions.
-        const GROUP: f64 = 4.0;
-        let lost = (-SHARP * (1.0 - load)).exp();
-        let grouped = self.site.groups && asked.group != 0;
-        let first = grouped && !self.groups.contains_key(&(v.entry.server, asked.group));
-        // Relays that share nothing meet at the same servers: those that a hash of both ids ranks first.
-        let rank = mix(asked.group ^ (u64::from(v.entry.server) << 32)) as f64 / u64::MAX as f64;
-        let weight = if first { 1.0 + GROUP * (0.5 + rank) } else { 1.0 };
+        let others = self.groups.get(&(v.entry.server, s.asked.group)).is_some_and(|&m| m > itself);
+        let first = if others || s.asked.group == 0 { 0.0 } else { GROUP * place as f64 / POOL as f64 };
         let crossing = if v.entry.zone == self.site.zone { 0.0 } else { self.site.price_crossing };
-        lost + weight * load * SHARP * lost + crossing
+        let lost = (-SHARP * (1.0 - load)).exp();
+        lost + (1.0 + first) * load * SHARP * lost + crossing
     }
 
-    /// 0: fresh, uncongested and trusted; 1: stale or congested; 2: tried or shunned; 3: silent.
+    /// 0: uncongested and trusted; 1: congested; 2: tried or dropping sessions; 3: silent. A quick dropper looks
+    /// idle and would draw every pick: its faults tell it apart, two at least and a quarter of its dials.
     fn tier(&self, v: &Server, tried: &[ServerId]) -> u8 {
-        // An answer serves for a few probe rounds; then it says nothing about now.
-        const FRESH: Micros = 10 * SECOND;
-        match v {
-            _ if v.misses > 0 => 3,
-            _ if tried.contains(&v.entry.server) || self.shunned(v) => 2,
-            _ if self.congested(v) || v.heard.is_none_or(|t| self.now - t > FRESH) => 1,
-            _ => 0,
+        match v.misses {
+            0 if tried.contains(&v.entry.server) || v.flow.failing(self.now, 2.0, 0.25) => 2,
+            0 => u8::from(self.piled(v) > self.bar),
+            _ => 3,
         }
     }
 
-    /// A quick dropper looks idle and would draw every pick: its faults over its dials tell it apart.
-    fn shunned(&self, v: &Server) -> bool {
-        // Two faults in eight seconds, a quarter of the dials: chance errors are far rarer.
-        const BACK: Micros = 8 * SECOND;
-        v.faults.sum(self.now, BACK) >= (0.25 * v.dials.sum(self.now, BACK)).max(2.0)
-    }
-
-    fn place(&mut self, sess: SessId, g: &Gauge) -> Option<(u8, ServerId)> {
-        let s = &self.sessions[&sess];
-        let repeat = self.site.listeners[s.asked.listener].repeat;
-        let open = |v: &&Server| self.now >= self.cold_until(v) || self.now >= v.cold_next;
-        let mut rng = self.rng;
-        let may = self.servers.values().filter(|v| v.ready() && legal(repeat, s, &v.entry, self.now));
-        let ranked = may.filter(open).map(|v| {
-            let cost = self.cost(v, &s.asked, self.load_now(v, g));
-            (self.tier(v, &s.tried), cost, rng.draw(), v.entry.server)
-        });
-        let best = ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
-        self.rng = rng;
-        best.map(|(tier, _, _, server)| (tier, server))
-    }
-
-    fn cold_until(&self, v: &Server) -> Micros {
-        v.came_up() + self.site.cold * u64::from(v.came_up() > 0)
-    }
-
-    /// Rule 4: this relay's part of a cold server's budget, as the time until it may send again.
-    fn cold_pause(&self, v: &Server, g: &Gauge) -> Micros {
-        let age = self.now.saturating_sub(v.came_up()) as f64;
-        let warmth = self.site.cold_from + (1.0 - self.site.cold_from) * age / self.site.cold.max(1) as f64;
+    /// Rule 4: whether this relay's part of a cold server's budget has room again.
+    fn cold_open(&self, v: &Server, g: &Gauge) -> bool {
+        let age = self.now.saturating_sub(v.entry.came_up) as f64;
+        if v.entry.came_up == 0 || age >= self.site.cold as f64 {
+            return true;
+        }
+        let warmth = self.site.cold_from + (1.0 - self.site.cold_from) * age / self.site.cold as f64;
         // What a server holds when full, taken in over a whole warm-up: this relay's part of that rate.
-        let rate = f64::from(self.n) / g.x_busy.max(0.1) / self.site.cold.max(1) as f64;
-        (1.0 / (self.site.fall_multiple * warmth * rate).max(1e-9)) as Micros
+        let each = self.site.cold as f64 * g.step * f64::from(self.site.relays);
+        (self.now - v.turn.0) as f64 >= v.turn.1 * each / (self.site.fall_multiple * warmth)
     }
 
     fn dial(&mut self, sess: SessId, out: &mut Vec<Effect>) {
-        let g = self.gauge();
-        let s = self.sessions.get_mut(&sess).expect("the table plays a session that is there");
+        let Some(s) = self.sessions.get_mut(&sess) else { return };
         (s.dials, s.dialled) = (s.dials + 1, self.now);
         s.tried.push(s.server);
         let (server, left, listener) = (s.server, s.due - self.now, &self.site.listeners[s.asked.listener]);
@@ -407,39 +422,49 @@
         let wait = if last { left } else { left.min(listener.handshake_target << s.dials.min(8)) };
         out.push(Effect::Dial { sess, server, wait });
         self.count(sess, 1);
-        let next = self.now + self.cold_pause(&self.servers[&server], &g);
-        let v = self.servers.get_mut(&server).expect("just read");
-        v.cold_next = next;
-        v.dials.add(self.now, 1.0);
+        let v = self.servers.get_mut(&server).expect("the pool names what is listed");
+        v.turn = (self.now, 1.0);
+        v.flow.dials.add(self.now, 1.0);
     }
 
     fn hold(&mut self, sess: SessId, out: &mut Vec<Effect>) {
-        let s = self.sessions.get_mut(&sess).expect("the table plays a session that is there");
-        if s.held_until.is_none() {
-            // A wait for first answers and no longer: half of the handshake target leaves time to dial.
-            let after = self.site.listeners[s.asked.listener].handshake_target.min(s.due - self.now) / 2;
-            s.held_until = Some(self.now + after);
-            out.push(Effect::Alarm { after, label: HELD });
-        }
+        let Some(s) = self.sessions.get_mut(&sess) else { return };
+        let (after, waits) = (s.wait_until - self.now, s.waits.clone());
+        out.push(Effect::Alarm { after, label: HELD });
         self.held.push(sess);
+        waits.into_iter().for_each(|server| self.probe(server, out));
+    }
+
+    /// Weighs again the held sessions that have all answers they wait for, or have waited long enough.
+    fn room(&mut self, heard: Option<ServerId>, out: &mut Vec<Effect>) {
+        let mut go = Vec::new();
+        self.held.retain(|&sess| {
+            let Some(s) = self.sessions.get_mut(&sess) else { return false };
+            s.waits.retain(|w| Some(*w) != heard);
+            let done = s.waits.is_empty() || self.now >= s.wait_until;
+            go.extend(done.then_some(sess));
+            !done
+        });
+        go.into_iter().for_each(|sess| self.play(sess, Room, out));
     }
 
-    fn room(&mut self, out: &mut Vec<Effect>) {
-        for sess in std::mem::take(&mut self.held) {
-            self.play(sess, Room, out);
-        }
+    fn probe(&mut self, server: ServerId, out: &mut Vec<Effect>) {
+        let Some(v) = self.servers.get_mut(&server).filter(|v| !v.awaited) else { return };
+        (v.asked, v.awaited) = (self.now, true);
+        self.credit -= 1.0;
+        out.push(Effect::Probe { server });
     }
 
     fn dial_ended(&mut self, sess: SessId, end: DialEnd, report: Option<Report>) {
-        let s = self.sessions.get_mut(&sess).expect("checked by the caller");
+        let Some(s) = self.sessions.get_mut(&sess) else { return };
         let Some(v) = self.servers.get_mut(&s.server) else { return };
-        s.dropped = matches!(end, DialEnd::Error | DialEnd::Reset | DialEnd::Timeout);
+        let fault = matches!(end, DialEnd::Error | DialEnd::Reset | DialEnd::Timeout);
         match end {
-            DialEnd::Unconnected => v.miss(self.now),
+            DialEnd::Unconnected => v.misses += 1,
             DialEnd::Full | DialEnd::Moot => {}
             _ => {
                 s.ran = s.ran.or(Some((s.dialled, v.entry.zone, v.entry.cell)));
-                v.faults.add(self.now, f64::from(u8::from(s.dropped)));
+                v.flow.faults.add(self.now, f64::from(u8::from(fault)));
             }
         }
         v.hear(self.now, report);
@@ -454,143 +479,112 @@
         }
         self.watch_fails = 0;
         if kind == ListKind::Full {
-            self.servers.values_mut().for_each(|v| v.listed = false);
+            self.servers.values_mut().for_each(|v| v.entry.phase = Phase::Gone);
         }
-        // A server that has just started takes least: the relays begin there one by one, each in its window.
-        let first_turn = self.now + self.site.fall * u64::from(self.site.slot);
         for entry in entries {
             let v = self.servers.entry(entry.server).or_default();
             if entry.came_up > v.entry.came_up {
-                (v.load, v.piled) = (0.0, 0.0);
-                v.cold_next = first_turn;
-            }
-            (v.entry, v.listed) = (entry, true);
-            if v.unheard() && self.site.may_probe {
-                out.push(Effect::Probe { server: entry.server });
+                // It takes least just now: the relays' first turns there are spread over one pause.
+                let turn = mix(u64::from(entry.server)).wrapping_add(u64::from(self.site.slot));
+                let relays = u64::from(self.site.relays.max(1));
+                let turn = (self.now, ((turn % relays) as f64 + 0.5) / relays as f64);
+                *v = Server { turn, ..Server::default() };
             }
+            v.entry = entry;
         }
         // What is gone is forgotten with its last session, or a long life would gather all there ever were.
-        self.servers.retain(|_, v| v.own > 0 || (v.listed && v.entry.phase != Phase::Gone));
+        let held = |id| self.sessions.values().any(|s| s.server == id);
+        self.servers.retain(|&id, v| v.entry.phase != Phase::Gone || held(id));
     }
 
-    /// One probe, and the time of the next: spread evenly over the round, as often as their price allows.
+    /// One probe, where more is saved up than the next session needs, and the time of the next beat.
     fn beat(&mut self, out: &mut Vec<Effect>) {
-        // Probes may cost this part of the result; beyond it fresher answers earn less than they cost.
-        const SPEND: f64 = 0.008;
-        let ready = self.servers.values().filter(|v| v.ready()).count().max(1) as f64;
-        let back = self.since_start().clamp(5 * SECOND, 8 * SECOND);
-        let rate = (self.asks.sum(self.now, back) / (back as f64 / 1e6)).max(0.5);
-        let longest = if self.since_start() < 3 * SECOND { 1.0 } else { 8.0 };
-        let round = ready * self.site.price_probe / (rate * SPEND);
-        // Reports are not refreshed much faster than twice a second; past eight seconds they say little.
-        let after = (round.clamp(0.5, longest) / ready * 1e6) as Micros;
+        let spare = self.credit - POOL as f64;
+        // What is saved up is spent over about a second, no faster than twice the rate at which reports change.
+        let least = SECOND as f64 / 2.0 / self.servers.len().max(1) as f64;
+        let after = (8.0 * SECOND as f64 / spare.max(4.0)).max(least) as Micros;
         out.push(Effect::Alarm { after, label: PROBE });
-        // The longest unasked first; a congested server's answer ages three times as fast: it bars the door.
-        let age = |v: &Server| (self.now - v.asked) * if self.congested(v) { 3 } else { 1 };
-        let next = self.servers.values().filter(|v| v.ready()).max_by_key(|v| age(v));
-        if let Some(server) = next.map(|v| v.entry.server) {
-            self.servers.get_mut(&server).expect("just read").asked = self.now;
-            out.push(Effect::Probe { server });
+        let idle = self.servers.values().filter(|v| v.ready() && !v.awaited && spare >= 1.0);
+        if let Some(server) = idle.min_by_key(|v| v.asked).map(|v| v.entry.server) {
+            self.probe(server, out);
         }
     }
 
     fn probed(&mut self, server: ServerId, end: DialEnd, report: Option<Report>, out: &mut Vec<Effect>) {
-        let first_turn = self.now + self.site.fall * u64::from(self.site.slot);
-        let Some(v) = self.servers.get_mut(&server) else { return };
-        match end {
-            DialEnd::Ok => {}
-            DialEnd::Full => return, // too many probes at once: it lives, and nothing else is learnt
-            _ => return v.miss(self.now),
-        }
-        // A silence of more than a moment that ends is taken for a restart, which the list tells late. Who
-        // comes back with its load was only cut off and is as warm as before: a restart drops all of it.
-        const SILENCE: Micros = 2 * SECOND;
-        let load = report.and_then(|r| r.load).unwrap_or(0.0);
-        if v.misses > 1 && self.now - v.dark_since > SILENCE && load < 0.3 * v.load {
-            (v.restarted, v.cold_next) = (self.now, first_turn);
+        if let Some(v) = self.servers.get_mut(&server) {
+            v.awaited = false;
+            if end == DialEnd::Ok {
+                v.misses = 0;
+                v.hear(self.now, report);
+            } else if end != DialEnd::Full {
+                v.misses += 1; // a full one lives, and nothing else is learnt
+            }
+            self.gauge.until = self.now;
+            self.relieve(server, out);
         }
-        v.misses = 0;
-        v.hear(self.now, report);
-        self.relieve(server, out);
-        self.room(out);
+        self.room(Some(server), out);
     }
 
     /// Sessions on a server that fills up go where they lose less; each probe answer moves a few.
     fn relieve(&mut self, server: ServerId, out: &mut Vec<Effect>) {
-        // Below this load nothing is gained by a move.
-        const FULL: f64 = 0.75;
         // What a move must gain beyond its price: gap, set-up, and the doubt about old answers.
         const DOUBT: f64 = 0.15;
-        let (g, v) = (self.gauge(), &self.servers[&server]);
-        let load = self.load_now(v, &g);
-        if load < FULL || !v.ready() || self.now - v.relieved < LAG {
+        let v = &self.servers[&server];
+        if self.load_now(v, &self.gauge) < FULL || !v.ready() || self.now - v.relieved < LAG {
             return; // what was moved does not show yet
         }
+        let g = self.gauge();
+        let v = &self.servers[&server];
+        let load = self.load_now(v, &g).max(FULL);
         // Guards a slow-down that all share: no server is better, on a congested one no message is in time,
         // so some are cut off, low utility first, for the rest to be well, and come back to the thresholds.
-        let shed = load > 1.0 && self.congested(v) && g.x_cong > g.c / 2.0;
+        let shed = v.heard == Some(self.now) && load > 1.0 && self.tier(v, &[]) > 0 && g.x_cong > g.c / 2.0;
+        // Those first whose leaving frees most: the heavy, and the last of a group.
+        let last = |s: &Sess| self.groups.get(&(server, s.asked.group)) == Some(&1);
+        let frees = |s: &Sess| s.weight + if last(s) { GROUP } else { 0.0 };
         let open = self.sessions.iter().filter(|(_, s)| s.server == server && s.state == Open);
-        let mut mine: Vec<(SessId, f64)> = open.map(|(&id, s)| (id, self.weight(s))).collect();
-        mine.sort_by(|a, b| b.1.total_cmp(&a.1));
-        mine.sort_by_key(|m| shed && self.high(&self.sessions[&m.0].asked));
-        let part = load / mine.iter().map(|m| m.1).sum::<f64>().max(1.0) / f64::from(self.site.relays);
-        // This relay's part of the way down to the others' mean, half of it where they can take more.
-        let mean = (g.x_busy / g.c.max(1.0)).min(FULL);
-        let mut excess = (load - mean) / f64::from(self.site.relays) * if shed { 1.0 } else { 0.5 };
-        for (sess, weight) in mine {
-            let asked = &self.sessions[&sess].asked;
-            let here = self.cost(&self.servers[&server], asked, load.min(1.2));
-            let usable = |v: &&Server| v.ready() && self.now >= self.cold_until(v) && self.tier(v, &[]) == 0;
-            let others = self.servers.values().filter(usable);
-            let costs = others.map(|v| self.cost(v, asked, self.load_now(v, &g) + g.step * weight));
-            let gain = here - costs.fold(f64::INFINITY, f64::min);
-            if weight * part <= excess && (shed || gain > self.site.price_move + DOUBT) {
-                excess -= weight * part;
+        let mut mine: Vec<_> = open.map(|(&id, s)| (shed && self.high(&s.asked), frees(s), id)).collect();
+        mine.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.total_cmp(&a.1)));
+        // The way down to the others' mean, half of it where they can take more, in own sessions.
+        let way = (load - (g.x_busy / g.c.max(1.0)).min(FULL)) * if shed { 1.0 } else { 0.5 };
+        let mut excess = mine.iter().map(|m| m.1).sum::<f64>() * way / load;
+        for (_, frees, sess) in mine {
+            // Less than one session is moved by chance, or with many relays nobody would move, or everybody.
+            if excess < frees && self.rng.below(1000) as f64 >= excess / frees * 1000.0 {
+                break;
+            }
+            if shed || self.gain(sess, load, &g) > self.site.price_move + DOUBT {
+                excess -= frees;
                 self.play(sess, Hot, out);
                 self.servers.get_mut(&server).expect("just read").relieved = self.now;
             }
         }
     }
+
+    /// What a session would lose less where its pool would place it now than where it is.
+    fn gain(&self, sess: SessId, load: f64, g: &Gauge) -> f64 {
+        let s = &self.sessions[&sess];
+        let pool = self.pool(s, g);
+        let place = pool.iter().position(|id| *id == s.server).unwrap_or(POOL);
+        let here = self.cost(&self.servers[&s.server], s, load.min(1.2), place, 1);
+        let costs = pool.into_iter().enumerate().filter_map(|(i, id)| {
+            let v = &self.servers[&id];
+            let load = self.load_now(v, g) + g.step * s.weight;
+            let usable = id != s.server && self.tier(v, &[]) == 0;
+            (usable && load < FULL).then(|| self.cost(v, s, load, i, 0))
+        });
+        here - costs.fold(f64::INFINITY, f64::min)
+    }
 }
 
 impl Server {
     fn ready(&self) -> bool {
-        self.listed && self.entry.phase == Phase::Ready
-    }
-
-    fn unheard(&self) -> bool {
-        self.ready() && self.heard.is_none() && self.misses == 0
-    }
-
-    fn miss(&mut self, now: Micros) {
-        (self.dark_since, self.misses) =
-            (if self.misses > 0 { self.dark_since } else { now }, self.misses + 1);
+        self.entry.phase == Phase::Ready
     }
 
     fn hear(&mut self, now: Micros, report: Option<Report>) {
-        if let Some((r, load)) = report.and_then(|r| Some((r, r.load?))) {
-            self.heard = Some(now);
-            (self.load, self.piled) = (load, r.piled.unwrap_or(0.0));
-        }
-    }
-
-    fn came_up(&self) -> Micros {
-        self.entry.came_up.max(self.restarted)
-    }
-}
-
-/// Rule 2: whether a session may be dialled at a server, after what may have run already.
-fn legal(repeat: Repeat, s: &Sess, at: &Entry, now: Micros) -> bool {
-    match (repeat, s.ran) {
-        (Repeat::Repeatable, _) | (_, None) => true,
-        (Repeat::OnceOnly, Some(_)) => false,
-        (Repeat::Referenced { within, window }, Some((since, zone, cell))) => {
-            now < since + window
-                && match within {
-                    Within::All => true,
-                    Within::Zone => zone == at.zone,
-                    Within::Cell => cell == at.cell,
-                }
+        if let Some(Report { load: Some(load), piled }) = report {
+            (self.heard, self.load, self.piled) = (Some(now), load, piled.unwrap_or(0.0));
         }
     }
 }
--- a/src/tools.rs
+++ b/src/tools.rs
@@ -31,6 +31,50 @@
     }
 }
 
+/// What lately went to a server, or to all: sessions in less sessions out, dials, and faults among them.
+#[derive(Default)]
+pub struct Flow {
+    pub net: Ring,
+    pub dials: Ring,
+    pub faults: Ring,
+}
+
+impl Flow {
+    /// Whether there were so many faults in the last eight seconds, and they are such a part of the dials.
+    pub fn failing(&self, now: Micros, least: f64, part: f64) -> bool {
+        const BACK: Micros = 8_000_000;
+        let faults = self.faults.sum(now, BACK);
+        faults >= least && faults >= part * self.dials.sum(now, BACK)
+    }
+}
+
+/// Keeps the least few of what it is given, in order.
+pub struct Least<T>(Vec<T>, usize);
+
+impl<T: PartialOrd> Least<T> {
+    pub fn new(most: usize) -> Least<T> {
+        Least(Vec::with_capacity(most + 1), most)
+    }
+
+    pub fn takes(&self, item: &T) -> bool {
+        self.0.len() < self.1 || self.0.last().is_some_and(|most| item < most)
+    }
+
+    pub fn add(&mut self, item: T) {
+        let at = self.0.partition_point(|kept| *kept < item);
+        self.0.insert(at, item);
+        self.0.truncate(self.1);
+    }
+}
+
+impl<T> IntoIterator for Least<T> {
+    type Item = T;
+    type IntoIter = std::vec::IntoIter<T>;
+    fn into_iter(self) -> Self::IntoIter {
+        self.0.into_iter()
+    }
+}
+
 /// Chance from the instance's seed.
 #[derive(Clone, Copy)]
 pub struct Chance(oorandom::Rand64);
--- a/src/types.rs
+++ b/src/types.rs
@@ -49,7 +49,6 @@
     pub retry_after: Option<Micros>,
     pub cold: Micros,
     pub cold_from: f64,
-    pub fall: Micros,
     pub fall_multiple: f64,
     /// Prices, as parts of the whole result: a session across zones, a move and a probe for each session.
     pub price_crossing: f64,
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -29,7 +29,6 @@
         max_open: 1000,
         cold: 10_000_000,
         cold_from: 0.2,
-        fall: 1_000_000,
         fall_multiple: 3.0,
         ..SiteFacts::default()
     }
@@ -57,6 +56,7 @@
             "max_open" => site.max_open = num(value)?,
             "retry_after" => site.retry_after = Some(millis(value)?),
             "watch" => site.must_watch = num(value)?,
+            "price_probe" => site.price_probe = num(value)?,
             "price_crossing" => site.price_crossing = num(value)?,
             _ => return Err(format!("unknown site fact '{key}'")),
         }
