A dropped session's load is not taken as gone, since it comes again

Cause: a full server that drops its newest lowered x_busy and its own load for each drop, and let others in for them.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -413,7 +413,7 @@
 
     fn dial(&mut self, sess: SessId, out: &mut Vec<Effect>) {
         let Some(s) = self.sessions.get_mut(&sess) else { return };
-        (s.dials, s.dialled) = (s.dials + 1, self.now);
+        (s.dials, s.dialled, s.weight) = (s.dials + 1, self.now, 1.0);
         s.tried.push(s.server);
         let (server, left, listener) = (s.server, s.due - self.now, &self.site.listeners[s.asked.listener]);
         // A dial gets its handshake target, doubled with each dial; the last one all that is left.
@@ -457,13 +457,14 @@
     fn dial_ended(&mut self, sess: SessId, end: DialEnd, report: Option<Report>) {
         let Some(s) = self.sessions.get_mut(&sess) else { return };
         let Some(v) = self.servers.get_mut(&s.server) else { return };
-        let fault = matches!(end, DialEnd::Error | DialEnd::Reset | DialEnd::Timeout);
+        let fault = f64::from(u8::from(matches!(end, DialEnd::Error | DialEnd::Reset | DialEnd::Timeout)));
+        s.weight *= 1.0 - fault; // who was dropped comes again: its load is not gone
         match end {
             DialEnd::Unconnected => v.misses += 1,
             DialEnd::Full | DialEnd::Moot => {}
             _ => {
                 s.ran = s.ran.or(Some((s.dialled, v.entry.zone, v.entry.cell)));
-                v.flow.faults.add(self.now, f64::from(u8::from(fault)));
+                v.flow.faults.add(self.now, fault);
             }
         }
         v.hear(self.now, report);
@@ -496,8 +497,7 @@
         self.servers.retain(|&id, v| v.entry.phase != Phase::Gone || held(id));
     }
 
-    /// One probe, where more is saved up than the next six sessions need, and the time of the next beat. Tried one,
-    /// three and twelve: answers for a session's own pool are worth more than those about the fleet.
+    /// One probe, where more is saved up than six sessions need (one, three and twelve tried), and the next beat.
     fn beat(&mut self, out: &mut Vec<Effect>) {
         let spare = self.credit - 6.0 * POOL as f64;
         // What is saved up is spent over about a second, no faster than twice the rate at which reports change.
