--- a/src/logic.rs
+++ b/src/logic.rs
@@ -392,7 +392,7 @@
     /// idle and would draw every pick: its faults tell it apart, two at least and a quarter of its dials.
     fn tier(&self, v: &Server, tried: &[ServerId]) -> u8 {
         match v.misses {
-            0 if tried.contains(&v.entry.server) || v.flow.failing(self.now, 2.0, 0.25) => 2,
+            0 if tried.contains(&v.entry.server) || v.flow.faulty(self.now, 2.0, 0.25) => 2,
             0 => u8::from(self.piled(v) > self.bar),
             _ => 3,
         }
--- a/src/tools.rs
+++ b/src/tools.rs
@@ -41,7 +41,7 @@
 
 impl Flow {
     /// Whether there were so many faults in the last eight seconds, and they are such a part of the dials.
-    pub fn failing(&self, now: Micros, least: f64, part: f64) -> bool {
+    pub fn faulty(&self, now: Micros, least: f64, part: f64) -> bool {
         const BACK: Micros = 8_000_000;
         let faults = self.faults.sum(now, BACK);
         faults >= least && faults >= part * self.dials.sum(now, BACK)
