--- a/src/logic.rs
+++ b/src/logic.rs
@@ -306,8 +306,7 @@
             all += 1.0;
             if v.heard.is_some() || self.piled(v) > self.bar {
                 let (age, cong) = (self.now - v.heard.unwrap_or(self.now), self.tier(v, &[]) > 0);
-                let one =
-                    [1.0, (v.load + self.piled(v)).min(1.0), v.load, f64::from(u8::from(cong)), age as f64];
+                let one = [1.0, (v.load + self.piled(v)).min(1.0), v.load, f64::from(cong), age as f64];
                 sums.iter_mut().zip(one).for_each(|(sum, x)| *sum += x);
             }
         }
@@ -318,7 +317,8 @@
         if k > 0.0 {
             (g.c, g.mean, g.x_cong) = (USABLE * all, load / k, cong / k * all);
             // A running mean over some seconds: in a storm of dials or on emptied servers a moment's is far off.
-            let step = (asked / k * all / f64::from(self.n * self.site.relays).max(1.0)).clamp(0.002, 0.05);
+            let open = f64::from(self.n) * f64::from(self.site.relays);
+            let step = (asked / k * all / open.max(1.0)).clamp(0.002, 0.05);
             g.step += (step - g.step) * if self.gauge.c > 0.0 { 0.08 } else { 1.0 };
             // What was let in since the answers counts too, or a thaw lets all who wait in at once.
             let since = self.net.sum(self.now, (age / k) as Micros + LAG);
@@ -331,7 +331,7 @@
     /// The work piled up: as probed, or as a message of an open session felt it; it counts only while it is news.
     fn piled(&self, v: &Server) -> f64 {
         // Delays are told anew each second while they last.
-        let news = |then: Micros| f64::from(u8::from(self.now - then < 2 * SECOND));
+        let news = |then: Micros| f64::from(self.now - then < 2 * SECOND);
         (v.piled * v.heard.map_or(0.0, news)).max(v.delay.0 * news(v.delay.1))
     }
 
@@ -342,7 +342,7 @@
         let since = v.flow.net.sum(self.now, v.heard.map_or(0, |t| self.now - t) + LAG);
         let base = v.heard.map_or(g.mean, |_| v.load) + self.piled(v) + g.step * since * g.alike.min(4.0);
         // Where messages are late all is taken, whatever an older answer says.
-        base.max(f64::from(u8::from(self.piled(v) > self.bar)))
+        base.max(f64::from(self.piled(v) > self.bar))
     }
 
     /// The servers that a session may go to, best first: by tier, then whether they are full or across a priced
@@ -457,7 +457,7 @@
     fn dial_ended(&mut self, sess: SessId, end: DialEnd, report: Option<Report>) {
         let Some(s) = self.sessions.get_mut(&sess) else { return };
         let Some(v) = self.servers.get_mut(&s.server) else { return };
-        let fault = f64::from(u8::from(matches!(end, DialEnd::Error | DialEnd::Reset | DialEnd::Timeout)));
+        let fault = f64::from(matches!(end, DialEnd::Error | DialEnd::Reset | DialEnd::Timeout));
         s.weight *= 1.0 - fault; // who was dropped comes again: its load is not gone
         match end {
             DialEnd::Unconnected => v.misses += 1,
