--- a/src/logic.rs
+++ b/src/logic.rs
@@ -86,7 +86,7 @@
     weight: f64,
 }
 
-/// The fleet as HEU sees it, the mean load of a server, one session's part of it, and how many relays do alike.
+/// The fleet as HEU sees it, a server's mean load, one session's part of it, and how many relays do alike.
 #[derive(Clone, Copy, Default)]
 struct Gauge {
     c: f64,
@@ -180,7 +180,7 @@
         (s.due, s.wait_until) = (self.now + s.asked.left, self.now + target.min(s.asked.left) / 2);
         s.asked.group *= u64::from(self.site.groups);
         (s.weight, s.salt) = (1.0, if s.asked.group != 0 { s.asked.group } else { self.rng.draw() });
-        // Each session pays for some probes, one that returns for half; eight rounds of the fleet at most are saved.
+        // Each session pays for some probes, a returned one for half; eight rounds of the fleet can be saved.
         // They may cost this part of the result; beyond it fresher answers earn less than they cost.
         const SPEND: f64 = 0.008;
         let each = (SPEND / self.site.price_probe.max(1e-6)).min(4.0 * POOL as f64);
@@ -316,7 +316,7 @@
         let mut g = Gauge { until: self.now + SECOND / 4, step: self.gauge.step, alike, ..Gauge::default() };
         if k > 0.0 {
             (g.c, g.mean, g.x_cong) = (USABLE * all, load / k, cong / k * all);
-            // A running mean over some seconds: in a storm of dials or on emptied servers a moment's is far off.
+            // A running mean over some seconds: in storms of dials or on emptied servers a moment's is far off.
             let open = f64::from(self.n) * f64::from(self.site.relays);
             let step = (asked / k * all / open.max(1.0)).clamp(0.002, 0.05);
             g.step += (step - g.step) * if self.gauge.c > 0.0 { 0.08 } else { 1.0 };
@@ -328,7 +328,7 @@
         g
     }
 
-    /// The work piled up: as probed, or as a message of an open session felt it; it counts only while it is news.
+    /// The work piled up, as probed or as a message of an open session felt it; it counts while it is news.
     fn piled(&self, v: &Server) -> f64 {
         // Delays are told anew each second while they last.
         let news = |then: Micros| f64::from(self.now - then < 2 * SECOND);
@@ -345,8 +345,8 @@
         base.max(f64::from(self.piled(v) > self.bar))
     }
 
-    /// The servers that a session may go to, best first: by tier, then whether they are full or across a priced
-    /// crossing, then by a hash of group and server, which all relays share without a word.
+    /// The servers that a session may go to, best first: by tier, then whether they are full or across a
+    /// priced crossing, then by a hash of group and server, which all relays share without a word.
     fn pool(&self, s: &Sess, g: &Gauge) -> Vec<ServerId> {
         let mut best = Least::new(POOL);
         for v in self.servers.values().filter(|v| v.ready()) {
@@ -376,8 +376,8 @@
         }
     }
 
-    /// Load over capacity, told as what one more session costs: the service that it loses and that others lose, the
-    /// price of a crossing, and a group's cost, the likelier the later in the pool, but not beside others of its own.
+    /// Load over capacity, told as what one more session costs: the service that it and others lose, a crossing,
+    /// and a group's cost, the likelier the later in the pool, but not beside others of its own.
     fn cost(&self, v: &Server, s: &Sess, load: f64, place: usize, itself: u32) -> f64 {
         // How sharply service falls as a server fills: the messages that fit into their target.
         const SHARP: f64 = 6.0;
@@ -388,8 +388,8 @@
         lost + (1.0 + first) * load * SHARP * lost + crossing
     }
 
-    /// 0: uncongested and trusted; 1: congested; 2: tried or dropping sessions; 3: silent. A quick dropper looks
-    /// idle and would draw every pick: its faults tell it apart, two at least and a quarter of its dials.
+    /// 0: uncongested and trusted; 1: congested; 2: tried or dropping sessions; 3: silent. A quick dropper
+    /// looks idle and would draw every pick: its faults tell it apart, two at least and a quarter of its dials.
     fn tier(&self, v: &Server, tried: &[ServerId]) -> u8 {
         match v.misses {
             0 if tried.contains(&v.entry.server) || v.flow.faulty(self.now, 2.0, 0.25) => 2,
@@ -405,8 +405,8 @@
             return true;
         }
         let warmth = self.site.cold_from + (1.0 - self.site.cold_from) * age / self.site.cold as f64;
-        // What a server holds when full, taken in over a whole warm-up, is shared by the relays. Few have a session for
-        // it just then: without the 1.4 hunts for broken rules met at most half of the limit.
+        // What a server holds when full, taken in over a whole warm-up, is shared by the relays. Few have a
+        // session for it just then: without the 1.4 hunts for broken rules met at most half of the limit.
         let each = self.site.cold as f64 * g.step * f64::from(self.site.relays) / 1.4;
         (self.now - v.turn.0) as f64 >= v.turn.1 * each / (self.site.fall_multiple * warmth)
     }
@@ -497,10 +497,10 @@
         self.servers.retain(|&id, v| v.entry.phase != Phase::Gone || held(id));
     }
 
-    /// One probe, where more is saved up than six sessions need (one, three and twelve tried), and the next beat.
+    /// One probe, where more is saved up than six sessions need (one, three, twelve tried), and the next beat.
     fn beat(&mut self, out: &mut Vec<Effect>) {
         let spare = self.credit - 6.0 * POOL as f64;
-        // What is saved up is spent over about a second, no faster than twice the rate at which reports change.
+        // What is saved up is spent over some eight seconds, no faster than twice a second on each server.
         let least = SECOND as f64 / 2.0 / self.servers.len().max(1) as f64;
         let after = (8.0 * SECOND as f64 / spare.max(4.0)).max(least) as Micros;
         out.push(Effect::Alarm { after, label: PROBE });
