--- a/src/logic.rs
+++ b/src/logic.rs
@@ -316,7 +316,7 @@
         let mut g = Gauge { until: self.now + SECOND / 4, step: self.gauge.step, alike, ..Gauge::default() };
         if k > 0.0 {
             (g.c, g.mean, g.x_cong) = (USABLE * all, load / k, cong / k * all);
-            // A running mean over some seconds: in storms of dials or on emptied servers a moment's is far off.
+            // A running mean over some seconds: in storms of dials or on emptied servers a moment's is no use.
             let open = f64::from(self.n) * f64::from(self.site.relays);
             let step = (asked / k * all / open.max(1.0)).clamp(0.002, 0.05);
             g.step += (step - g.step) * if self.gauge.c > 0.0 { 0.08 } else { 1.0 };
@@ -376,8 +376,8 @@
         }
     }
 
-    /// Load over capacity, told as what one more session costs: the service that it and others lose, a crossing,
-    /// and a group's cost, the likelier the later in the pool, but not beside others of its own.
+    /// Load over capacity, told as what one more session costs: the service that it and others lose, a
+    /// crossing, and a group's cost, the likelier the later in the pool, but not beside others of its own.
     fn cost(&self, v: &Server, s: &Sess, load: f64, place: usize, itself: u32) -> f64 {
         // How sharply service falls as a server fills: the messages that fit into their target.
         const SHARP: f64 = 6.0;
@@ -389,7 +389,7 @@
     }
 
     /// 0: uncongested and trusted; 1: congested; 2: tried or dropping sessions; 3: silent. A quick dropper
-    /// looks idle and would draw every pick: its faults tell it apart, two at least and a quarter of its dials.
+    /// looks idle and would draw every pick: its faults tell it apart, two and a quarter of its dials.
     fn tier(&self, v: &Server, tried: &[ServerId]) -> u8 {
         match v.misses {
             0 if tried.contains(&v.entry.server) || v.flow.faulty(self.now, 2.0, 0.25) => 2,
@@ -497,7 +497,7 @@
         self.servers.retain(|&id, v| v.entry.phase != Phase::Gone || held(id));
     }
 
-    /// One probe, where more is saved up than six sessions need (one, three, twelve tried), and the next beat.
+    /// One probe, where more is saved up than six sessions need (1, 3, 12 tried), and the next beat.
     fn beat(&mut self, out: &mut Vec<Effect>) {
         let spare = self.credit - 6.0 * POOL as f64;
         // What is saved up is spent over some eight seconds, no faster than twice a second on each server.
