--- a/src/logic.rs
+++ b/src/logic.rs
@@ -316,7 +316,7 @@
         let mut g = Gauge { until: self.now + SECOND / 4, step: self.gauge.step, alike, ..Gauge::default() };
         if k > 0.0 {
             (g.c, g.mean, g.x_cong) = (USABLE * all, load / k, cong / k * all);
-            // A running mean over some seconds: in storms of dials or on emptied servers a moment's is no use.
+            // A running mean over some seconds: in dial storms or on emptied servers a moment's is useless.
             let open = f64::from(self.n) * f64::from(self.site.relays);
             let step = (asked / k * all / open.max(1.0)).clamp(0.002, 0.05);
             g.step += (step - g.step) * if self.gauge.c > 0.0 { 0.08 } else { 1.0 };
