--- a/src/tools.rs
+++ b/src/tools.rs
@@ -1,4 +1,5 @@
-//! What the decisions are written with: sums over time, chance and a hash. Nothing here decides.
+//! What the decisions are written with: sums over time, the least few of many, chance and a hash. Nothing here
+//! decides.
 
 use crate::types::Micros;
 
@@ -31,7 +32,7 @@
     }
 }
 
-/// What lately went to a server, or to all: sessions in less sessions out, dials, and faults among them.
+/// What lately went to a server: sessions in less sessions out, dials, and faults among them.
 #[derive(Default)]
 pub struct Flow {
     pub net: Ring,
