--- /dev/null
+++ b/config/src/facts.rs
@@ -0,0 +1,121 @@
+//! Turns a relay's settings, in the words of the wire, into the facts that the program reads.
+use crate::at::At;
+use hallrelay::types::{Listener, Micros, Repeat, Report, SiteFacts, Within};
+
+/// What the settings tell, beyond the module's facts, of names and of time on sockets.
+#[derive(Clone, Debug, Default)]
+pub struct Site {
+    pub facts: SiteFacts,
+    pub report: ReportOrder,
+    /// Names of the listeners and of the zones, at the places that the module knows them by.
+    pub listeners: Vec<String>,
+    pub zones: Vec<String>,
+    pub dial_timeouts: Vec<Micros>,
+    pub connect: Micros,
+    pub drain_grace: Micros,
+    /// How long a relay may go without asking for the list; none where it is told unasked.
+    pub ask_within: Option<Micros>,
+}
+
+/// Which of a report's values are the ones that decisions read.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ReportOrder {
+    pub load: Option<usize>,
+    pub piled: Option<usize>,
+    /// Whether `load` is the part of the cores in use, which sites without a better figure report.
+    pub by_cores: bool,
+}
+
+pub type RawReport = [Option<f64>; 4];
+
+impl ReportOrder {
+    pub fn pick(self, raw: RawReport) -> Report {
+        let at = |i: Option<usize>| i.and_then(|i| raw[i]);
+        Report { load: at(self.load), piled: at(self.piled) }
+    }
+
+    /// From names and values, as reports stand in lines of text.
+    pub fn find(self, value: impl Fn(&str) -> Option<f64>) -> Report {
+        let load = self.load.and_then(|_| value(if self.by_cores { "util" } else { "x0" }));
+        Report { load, piled: self.piled.and_then(|_| value("x1")) }
+    }
+}
+
+pub fn decode(top: &At) -> Result<Site, String> {
+    let (limits, rules, charges) = (top.key("Ceilings")?, top.key("Rules")?, top.key("Charges")?);
+    let family = top.key("FamilyInfo")?;
+    family.key("Mode")?.word(&[("proxy", ()), ("pass", ())])?;
+    let message_targets = family.key("MessageAim")?;
+    let (listeners_at, targets) = (top.key("Listeners")?, message_targets.list()?);
+    let listener = |(i, at): (usize, &At)| -> Result<Listener, String> {
+        let within =
+            at.key("Group")?.word(&[("all", Within::All), ("zone", Within::Zone), ("cell", Within::Cell)])?;
+        let window = at.key("Window")?.micros()?;
+        let kinds = [
+            ("retryable", Repeat::Repeatable),
+            ("dedup", Repeat::Referenced { within, window }),
+            ("fragile", Repeat::OnceOnly),
+        ];
+        let Some(message) = targets.get(i) else {
+            return message_targets.wrong("a time for each of Listeners");
+        };
+        Ok(Listener {
+            utility: at.key("Utility")?.num()?,
+            repeat: at.key("Effect")?.word(&kinds)?,
+            handshake_target: at.key("HandshakeTarget")?.micros()?,
+            message_target: message.micros()?,
+        })
+    };
+    let listeners = listeners_at.list()?;
+    if listeners.is_empty() {
+        return listeners_at.wrong("one listener at least");
+    }
+    let report = top.key("Report")?;
+    report.key("How")?.word(&[("inline", ()), ("on_probe", ()), ("off", ())])?;
+    let fields = report.key("Fields")?.list()?;
+    let place = |name: &str| fields.iter().take(4).position(|at| at.value.as_str() == Some(name));
+    let (asked, cores) = (place("x0"), place("cpu_share"));
+    let order = ReportOrder { load: asked.or(cores), piled: place("x1"), by_cores: asked.is_none() };
+    let must_watch = top.key("Discovery")?.word(&[("automatic", false), ("subscribe", true)])?;
+    let facts = SiteFacts {
+        listeners: listeners.iter().enumerate().map(listener).collect::<Result<_, _>>()?,
+        relays: top.key("Instances")?.small::<u32>()?.max(1),
+        slot: top.key("SlotNo")?.small()?,
+        zone: top.key("Zone")?.small()?,
+        must_watch,
+        may_probe: limits.key("MayProbe")?.yes()?,
+        groups: family.key("Groups")?.yes()?,
+        most_dials: limits.key("MostDials")?.small()?,
+        max_open: limits.key("MaxOpen")?.small()?,
+        retry_after: if limits.key("RetryAfter")?.yes()? {
+            Some(limits.key("MaxRetryAfter")?.micros()?)
+        } else {
+            None
+        },
+        cold: rules.key("Cold")?.micros()?,
+        cold_from: rules.key("ColdFrom")?.num()?,
+        fall_multiple: rules.key("FallMultiple")?.num()?,
+        price_crossing: charges.key("CrossZone")?.num()?,
+        price_move: charges.key("Moves")?.num()?,
+        price_probe: charges.key("Probe")?.num()?,
+    };
+    let names = |at: At| -> Result<Vec<String>, String> {
+        at.list()?.iter().map(|at| Ok(at.text()?.to_string())).collect()
+    };
+    Ok(Site {
+        facts,
+        report: order,
+        listeners: listeners
+            .iter()
+            .map(|at| Ok(at.key("Name")?.text()?.to_string()))
+            .collect::<Result<_, String>>()?,
+        zones: names(top.key("FailureDomains")?)?,
+        dial_timeouts: listeners
+            .iter()
+            .map(|at| at.key("DialTimeout")?.micros())
+            .collect::<Result<_, String>>()?,
+        connect: limits.key("ConnectTimeout")?.micros()?,
+        drain_grace: rules.key("DrainGrace")?.micros()?,
+        ask_within: if must_watch { Some(rules.key("AskWithin")?.micros()?) } else { None },
+    })
+}
--- /dev/null
+++ b/config/src/limits.rs
@@ -0,0 +1,101 @@
+//! Sizes, counts and times that bound the program: filled once at start and handed down.
+use crate::facts::Site;
+use hallrelay::types::Micros;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Bytes of a line with its end, and what a connection's buffer begins with and may grow to.
+    pub line: usize,
+    pub buffer_first: usize,
+    pub buffer_most: usize,
+    /// Connections taken from clients at once, and the file descriptors that the program may hold.
+    pub clients: usize,
+    /// Sessions with a backend at once; each holds a second descriptor.
+    pub sessions: u32,
+    pub sockets: usize,
+    /// Probe connections that are kept open, one a backend.
+    pub probes: usize,
+    /// Bytes of one line of discovery's list.
+    pub list: usize,
+    /// Events on their way to the reducer; commands on their way to one connection.
+    pub events: usize,
+    pub commands: usize,
+    /// Messages of one session whose answers are awaited and measured.
+    pub unanswered: usize,
+    /// Log lines that wait to be written; more are dropped and counted.
+    pub log_lines: usize,
+    pub connect: Micros,
+    pub first_line: Micros,
+    /// An answer leaves this long before the client's time is up.
+    pub answer_margin: Micros,
+    pub probe: Micros,
+    pub probe_idle: Micros,
+    /// A message that brings nothing back for this long: the backend is taken for silent.
+    pub silence: Micros,
+    /// A client that takes nothing for this long is let go.
+    pub stuck: Micros,
+    /// The time to write a last line and for the other side to close.
+    pub end: Micros,
+    pub discovery_first: Micros,
+    pub discovery_silence: Micros,
+    /// From when on SIGTERM sessions are moved, and by when all are; no exit before `stop_least`.
+    pub stop_from: Micros,
+    pub stop_by: Micros,
+    pub stop_least: Micros,
+    pub standing: Micros,
+}
+
+const MS: Micros = 1000;
+
+impl Limits {
+    /// Descriptors for discovery, the listening socket, standard streams, the runtime, and a few to spare.
+    const OWN_SOCKETS: usize = 24;
+    /// Kept probe connections may take this part of all descriptors.
+    const PROBE_PART: usize = 16;
+
+    pub fn new(site: &Site, sockets: usize) -> Result<Limits, String> {
+        let left = sockets.saturating_sub(Self::OWN_SOCKETS + sockets / Self::PROBE_PART);
+        if left < 4 {
+            return Err(format!("limits.sockets is {sockets}, wanted {} at least", Self::OWN_SOCKETS * 2));
+        }
+        let longest = site.dial_timeouts.iter().copied().max().unwrap_or(0);
+        // Two watch calls fit into the time that a relay may go unasked.
+        let ask = site.ask_within.unwrap_or(10_000 * MS);
+        Ok(Limits {
+            line: 4096,
+            buffer_first: 256,
+            buffer_most: 8192,
+            // More clients than sessions, so that those over the cap still get their answer.
+            clients: left * 11 / 20,
+            sessions: (left * 9 / 20) as u32,
+            sockets,
+            probes: sockets / Self::PROBE_PART,
+            // Some ten thousand entries.
+            list: 2 << 20,
+            events: 1024,
+            commands: 8,
+            unanswered: 8,
+            log_lines: 1024,
+            // The line must be out before a drain's grace has passed, counted from the decision to dial.
+            connect: site.connect.min(site.drain_grace * 4 / 5),
+            first_line: longest.max(1000 * MS),
+            // Clients take answers a little late as well, but the wake-up of a busy core takes some of it.
+            answer_margin: 10 * MS,
+            // A probe is a small message: twice what a connect may take.
+            probe: site.connect * 2,
+            probe_idle: 30_000 * MS,
+            // Clients speak every 2 s and must be told within 7 s of their backend's silence.
+            silence: 4_500 * MS,
+            stuck: 30_000 * MS,
+            end: 1000 * MS,
+            discovery_first: (ask / 2).min(4_000 * MS),
+            // An idle watch brings an empty line every 2 s.
+            discovery_silence: (ask / 2).min(5_000 * MS),
+            // The front goes on sending new connections for 0.2 to 0.4 s.
+            stop_from: 500 * MS,
+            stop_by: longest.max(1000 * MS),
+            stop_least: 1000 * MS,
+            standing: 40_000 * MS,
+        })
+    }
+}
--- /dev/null
+++ b/config/src/list.rs
@@ -0,0 +1,49 @@
+//! The list of backends in discovery's form, as it stands in the start-up text and in each line of a watch.
+use crate::at::At;
+use hallrelay::types::{Micros, Phase};
+use serde_json::Value;
+use std::net::SocketAddr;
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Instance {
+    pub id: String,
+    pub addr: SocketAddr,
+    pub zone: String,
+    pub cell: u16,
+    pub phase: Phase,
+    /// Unix time; 0 is long ago.
+    pub came_up: Micros,
+}
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct List {
+    pub generation: u64,
+    pub whole: bool,
+    pub instances: Vec<Instance>,
+}
+
+/// One line of a watch, or the answer of a call.
+pub fn parse(text: &[u8]) -> Result<List, String> {
+    let value: Value = serde_json::from_slice(text).map_err(|e| format!("the list is not JSON: {e}"))?;
+    decode(&At::top(&value))
+}
+
+pub fn decode(at: &At) -> Result<List, String> {
+    let instance = |at: &At| -> Result<Instance, String> {
+        let phases = [("up", Phase::Ready), ("draining", Phase::Draining), ("removed", Phase::Gone)];
+        let (host_port, started) = (at.key("hostPort")?, at.option("startedAtMs"));
+        Ok(Instance {
+            id: at.key("instanceId")?.text()?.to_string(),
+            addr: host_port.text()?.parse().or_else(|_| host_port.wrong("an address with a port"))?,
+            zone: at.option("zone").map_or(Ok(""), |at| at.text())?.to_string(),
+            cell: at.option("cell").map_or(Ok(0), |at| at.small())?,
+            phase: at.key("lifecycle")?.word(&phases)?,
+            came_up: started.map_or(Ok(0), |at| at.micros())?,
+        })
+    };
+    Ok(List {
+        generation: at.key("generation")?.whole()?,
+        whole: at.option("reset").map_or(Ok(false), |at| at.yes())?,
+        instances: at.key("instances")?.list()?.iter().map(instance).collect::<Result<_, _>>()?,
+    })
+}
--- /dev/null
+++ b/config/src/node.rs
@@ -0,0 +1,60 @@
+//! What one relay is told at its start: its addresses, limits, settings and the list as it last had it.
+use crate::at::At;
+use crate::facts::{self, Site};
+use crate::limits::Limits;
+use crate::list::{self, List};
+use serde_json::Value;
+use std::net::SocketAddr;
+
+#[derive(Clone, Debug)]
+pub struct Node {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub site: Site,
+    pub known: List,
+    pub limits: Limits,
+}
+
+/// What the environment or the command line says in place of the text.
+#[derive(Clone, Debug, Default)]
+pub struct Told {
+    pub name: Option<String>,
+    pub listen: Option<String>,
+    pub discovery: Option<String>,
+}
+
+/// What holds where the text names no limit: that of a small machine.
+const SOCKETS: usize = 1024;
+
+pub fn parse(text: &[u8], told: &Told) -> Result<Node, String> {
+    let value: Value = serde_json::from_slice(text).map_err(|e| format!("not JSON: {e}"))?;
+    let top = At::top(&value);
+    let said = |key: &str, told: &Option<String>| -> Result<String, String> {
+        told.clone().map_or_else(|| Ok(top.key(key)?.text()?.to_string()), Ok)
+    };
+    let addr = |key: &str, told: &Option<String>| -> Result<SocketAddr, String> {
+        let text = said(key, told)?;
+        text.parse().map_err(|_| format!("{key} is \"{text}\", wanted an address with a port"))
+    };
+    let seed = |at: At| -> Result<u64, String> {
+        let text = at.text()?;
+        u64::from_str_radix(text, 16).or_else(|_| at.wrong("16 hexadecimal digits"))
+    };
+    let sockets = top.option("limits").and_then(|at| at.option("sockets"));
+    let sockets = sockets.map_or(Ok(SOCKETS), |at| at.small())?;
+    let mut site = facts::decode(&top.key("settings")?)?;
+    let limits = Limits::new(&site, sockets)?;
+    // C_ID of the design: no more sessions than this machine has descriptors for.
+    site.facts.max_open = site.facts.max_open.min(limits.sessions);
+    Ok(Node {
+        name: said("name", &told.name)?,
+        listen: addr("listen", &told.listen)?,
+        discovery: addr("discovery", &told.discovery)?,
+        seed: seed(top.key("seed")?)?,
+        known: top.option("known").map_or(Ok(List::default()), |at| list::decode(&at))?,
+        site,
+        limits,
+    })
+}
--- /dev/null
+++ b/relay/src/buffer.rs
@@ -0,0 +1,98 @@
+//! One buffer a connection: small at first, grown as lines need it, compacted in place.
+use std::io;
+use tokio::net::TcpStream;
+
+pub struct Buffer {
+    bytes: Vec<u8>,
+    /// What is read and not yet taken, and how far of it was looked through for line ends.
+    from: usize,
+    till: usize,
+    seen: usize,
+    /// End of the last whole line.
+    whole: usize,
+    most: usize,
+}
+
+impl Buffer {
+    pub fn new(first: usize, most: usize) -> Buffer {
+        Buffer { bytes: vec![0; first], from: 0, till: 0, seen: 0, whole: 0, most }
+    }
+
+    pub fn has_room(&self) -> bool {
+        self.till - self.from < self.most
+    }
+
+    /// Bytes that stand behind the last whole line.
+    pub fn partial(&self) -> usize {
+        self.till - self.whole
+    }
+
+    /// Whole lines that are not yet taken, with their ends.
+    pub fn lines(&self) -> &[u8] {
+        &self.bytes[self.from..self.whole]
+    }
+
+    pub fn take(&mut self, count: usize) {
+        self.from += count;
+        if self.from == self.till {
+            (self.from, self.till, self.seen, self.whole) = (0, 0, 0, 0);
+        }
+    }
+
+    /// Takes the first whole line, without its end.
+    pub fn take_line(&mut self) -> Option<Vec<u8>> {
+        let at = self.lines().windows(2).position(|w| w == b"\r\n")?;
+        let line = self.lines()[..at].to_vec();
+        self.take(at + 2);
+        Some(line)
+    }
+
+    fn make_room(&mut self) {
+        if self.till < self.bytes.len() {
+            return;
+        }
+        if self.from > 0 {
+            self.bytes.copy_within(self.from..self.till, 0);
+            for place in [&mut self.till, &mut self.seen, &mut self.whole] {
+                *place -= self.from;
+            }
+            self.from = 0;
+        } else {
+            self.bytes.resize((self.bytes.len() * 2).min(self.most), 0);
+        }
+    }
+
+    /// Reads what is there once; 0 is the end. Returns where the lines that became whole stand.
+    pub fn read(&mut self, stream: &TcpStream) -> io::Result<(usize, std::ops::Range<usize>)> {
+        self.make_room();
+        let count = stream.try_read(&mut self.bytes[self.till..])?;
+        self.till += count;
+        let was = self.whole.max(self.from);
+        let look = &self.bytes[self.seen..self.till];
+        if let Some(at) = look.windows(2).rposition(|w| w == b"\r\n") {
+            self.whole = self.seen + at + 2;
+        }
+        self.whole = self.whole.max(self.from);
+        // A line's end may come in two parts.
+        self.seen = self.whole.max(self.till.saturating_sub(1));
+        Ok((count, was..self.whole))
+    }
+
+    pub fn part(&self, range: std::ops::Range<usize>) -> &[u8] {
+        &self.bytes[range]
+    }
+
+    /// Writes what it can of the whole lines.
+    pub fn write(&mut self, stream: &TcpStream) -> io::Result<usize> {
+        let count = stream.try_write(self.lines())?;
+        self.take(count);
+        Ok(count)
+    }
+
+    /// Gives back what a burst took.
+    pub fn shrink(&mut self, first: usize) {
+        if self.from == self.till && self.bytes.len() > first {
+            self.bytes = vec![0; first];
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/lines.rs
@@ -0,0 +1,143 @@
+//! The lines of the protocol, as parsers. Nothing here reads a socket or decides.
+use hallrelay::types::Report;
+use hallrelay_config::facts::ReportOrder;
+use std::ops::Range;
+use winnow::ascii::{alpha1, float};
+use winnow::combinator::{opt, preceded, separated, separated_pair};
+use winnow::prelude::*;
+use winnow::token::{rest, take_while};
+
+pub const END: &[u8] = b"\r\n";
+pub const MOVE: &[u8] = b"MOVE\r\n";
+pub const PONG: &[u8] = b"PONG\r\n";
+pub const FAIL: &[u8] = b"FAIL\r\n";
+pub const STATS: &[u8] = b"STATS\r\n";
+
+/// What a client's first line says.
+#[derive(Clone, Debug, PartialEq)]
+pub enum First {
+    Ping,
+    Open(Open),
+}
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Open {
+    pub listener: String,
+    pub key: u64,
+    pub group: u64,
+    pub returned: bool,
+    /// How long the client waits, in milliseconds, and where in the line this stands.
+    pub wait_ms: u64,
+    pub wait_at: Range<usize>,
+    /// The backend at which this connection stood before.
+    pub at: Option<String>,
+}
+
+fn hex16(input: &mut &str) -> ModalResult<u64> {
+    take_while(16, |c: char| c.is_ascii_digit() || ('a'..='f').contains(&c))
+        .try_map(|t| u64::from_str_radix(t, 16))
+        .parse_next(input)
+}
+
+fn name<'a>(input: &mut &'a str) -> ModalResult<&'a str> {
+    take_while(1.., |c: char| c.is_ascii_alphanumeric() || c == '_').parse_next(input)
+}
+
+fn value<'a>(input: &mut &'a str) -> ModalResult<&'a str> {
+    take_while(1.., |c: char| c.is_ascii_graphic() && c != ',' && c != '=').parse_next(input)
+}
+
+fn pairs<'a>(input: &mut &'a str) -> ModalResult<Vec<(&'a str, &'a str)>> {
+    separated(1.., separated_pair(name, '=', value), ',').parse_next(input)
+}
+
+/// A first line without its end; none where it is not of the protocol's form.
+pub fn first(line: &[u8]) -> Option<First> {
+    let text = std::str::from_utf8(line).ok()?;
+    if text == "PING" {
+        return Some(First::Ping);
+    }
+    let head = ("OPEN ", hex16, ' ', hex16, ' ').map(|(_, _, _, key, _)| key);
+    let (key, pairs) = (head, pairs).parse(text).ok()?;
+    let mut open = Open { key, ..Open::default() };
+    let (mut names, mut wait) = (Vec::with_capacity(pairs.len()), None);
+    for (name, value) in pairs {
+        if names.contains(&name) {
+            return None;
+        }
+        names.push(name);
+        match name {
+            "c" => open.listener = value.to_string(),
+            "d" => {
+                let at = value.as_ptr() as usize - text.as_ptr() as usize;
+                let whole = value.bytes().all(|b| b.is_ascii_digit());
+                wait = Some((value.parse().ok().filter(|_| whole)?, at..at + value.len()));
+            }
+            "g" => open.group = u64::from_str_radix(value, 16).ok()?,
+            "again" => open.returned = flag(value)?,
+            "r" => _ = flag(value)?,
+            "at" => open.at = Some(value.to_string()),
+            _ => {}
+        }
+    }
+    (open.wait_ms, open.wait_at) = wait?;
+    (!open.listener.is_empty()).then_some(First::Open(open))
+}
+
+fn flag(value: &str) -> Option<bool> {
+    ["0", "1"].iter().position(|v| *v == value).map(|i| i == 1)
+}
+
+/// What a backend says, in the first line of its answer or among later ones.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Said {
+    Up,
+    Bye(Option<Report>),
+    Move,
+    Error(Option<Report>),
+    Busy(Option<Report>),
+    Pong(Option<Report>),
+    Load(f64),
+    Other,
+}
+
+pub fn said(line: &[u8], order: ReportOrder) -> Said {
+    let Ok(text) = std::str::from_utf8(line) else { return Said::Other };
+    let Ok((word, tail)) = split.parse(text) else { return Said::Other };
+    let report = || {
+        let values = pairs.parse(tail?).ok()?;
+        Some(order.find(|name| values.iter().find(|v| v.0 == name).and_then(|v| figure(v.1))))
+    };
+    match word {
+        "UP" => Said::Up,
+        "BYE" => Said::Bye(report()),
+        "MOVE" => Said::Move,
+        "ERR" => Said::Error(report()),
+        "BUSY" => Said::Busy(report()),
+        "PONG" => Said::Pong(report()),
+        "LOAD" => tail.and_then(figure).map_or(Said::Other, Said::Load),
+        _ => Said::Other,
+    }
+}
+
+fn split<'a>(input: &mut &'a str) -> ModalResult<(&'a str, Option<&'a str>)> {
+    (alpha1, opt(preceded(' ', rest))).parse_next(input)
+}
+
+fn figure(text: &str) -> Option<f64> {
+    let mut number = float::<_, f64, winnow::error::ContextError>;
+    number.parse(text).ok().filter(|x| x.is_finite() && *x >= 0.0)
+}
+
+/// The refusal, with the time to come back after where the client is to be told one.
+pub fn busy(after_ms: u64) -> Vec<u8> {
+    match after_ms {
+        0 => b"BUSY\r\n".to_vec(),
+        ms => format!("BUSY {ms}\r\n").into_bytes(),
+    }
+}
+
+/// The client's first line as it goes on: unchanged but for how long the relay will wait.
+pub fn onward(line: &[u8], wait_at: &Range<usize>, wait_ms: u64) -> Vec<u8> {
+    [&line[..wait_at.start], wait_ms.to_string().as_bytes(), &line[wait_at.end..], END].concat()
+}
--- /dev/null
+++ b/relay/src/net/accept.rs
@@ -0,0 +1,39 @@
+//! Takes connections from clients, as many as there are descriptors for.
+use super::{end, first_line, Hub};
+use crate::clock::span;
+use crate::reducer::Event;
+use std::sync::Arc;
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+
+pub async fn run(listener: TcpListener, hub: Hub) {
+    // Long enough not to spin while descriptors are short, short against every dial timeout.
+    const REST: u64 = 20_000;
+    let room = Arc::new(Semaphore::new(hub.limits.clients));
+    loop {
+        let Ok(permit) = room.clone().acquire_owned().await else { return };
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                slog::warn!(hub.log, "a connection could not be accepted"; "error" => %e);
+                tokio::time::sleep(span(REST)).await;
+                continue;
+            }
+        };
+        // Lines are short and wait for nothing.
+        _ = stream.set_nodelay(true);
+        let hub = hub.clone();
+        tokio::task::spawn_local(async move {
+            let (conn, commands) = hub.register();
+            first_line::run(conn, stream, commands, &hub).await;
+            hub.conns.borrow_mut().remove(&conn);
+            hub.tell(Event::Gone { sess: conn }).await;
+            drop(permit);
+        });
+    }
+}
+
+/// How long ago the last bytes came, as the system saw it: a busy relay reads late.
+pub fn age_of_last(stream: &tokio::net::TcpStream) -> hallrelay::types::Micros {
+    end::tcp_info(stream).map_or(0, |info| u64::from(info.tcpi_last_data_recv) * 1000)
+}
--- /dev/null
+++ b/relay/src/net/dial.rs
@@ -0,0 +1,58 @@
+//! One dial: connect, send the first line, wait for the backend's first word. Dropping it gives it up.
+use super::{end, first_line, Hub};
+use crate::buffer::Buffer;
+use crate::clock::span;
+use crate::lines::{self, Said};
+use hallrelay::types::{DialEnd, Micros, Report};
+use std::net::SocketAddr;
+use tokio::net::TcpStream;
+use tokio::time::{timeout, timeout_at, Instant};
+
+pub struct Backend {
+    pub stream: TcpStream,
+    pub buffer: Buffer,
+    /// The line with which it took the session, for the client.
+    pub up: Vec<u8>,
+}
+
+pub enum Ended {
+    Up(Backend),
+    /// Served to its end at once, with this line.
+    Over((Vec<u8>, Option<Report>)),
+    Not(DialEnd, Option<Report>),
+}
+
+/// Whether the last byte of the line was written tells whether the dial may have run.
+pub async fn run(addr: SocketAddr, line: &[u8], wait: Micros, hub: &Hub) -> Ended {
+    let limits = &hub.limits;
+    let over = Instant::now() + span(wait);
+    let never = Ended::Not(DialEnd::Unconnected, None);
+    let Ok(Ok(stream)) = timeout(span(wait.min(limits.connect)), TcpStream::connect(addr)).await else {
+        return never;
+    };
+    _ = stream.set_nodelay(true);
+    if !end::write(&stream, line, wait).await {
+        return never;
+    }
+    let mut buffer = Buffer::new(limits.buffer_first, limits.buffer_most);
+    let answer = first_line::line(&stream, &mut buffer, limits.line);
+    let Ok(answer) = timeout_at(over, answer).await else {
+        return Ended::Not(DialEnd::Timeout, None);
+    };
+    let Some(mut up) = answer else { return Ended::Not(DialEnd::Reset, None) };
+    match lines::said(&up, hub.order) {
+        Said::Up => {
+            up.extend_from_slice(lines::END);
+            Ended::Up(Backend { stream, buffer, up })
+        }
+        Said::Bye(report) => {
+            up.extend_from_slice(lines::END);
+            Ended::Over((up, report))
+        }
+        Said::Move => Ended::Not(DialEnd::Recalled, None),
+        Said::Busy(report) => Ended::Not(DialEnd::Full, report),
+        Said::Error(report) => Ended::Not(DialEnd::Error, report),
+        // A line that no backend of this protocol sends: it may have run.
+        _ => Ended::Not(DialEnd::Error, None),
+    }
+}
--- /dev/null
+++ b/relay/src/net/mod.rs
@@ -0,0 +1,74 @@
+//! The tasks, by stage: accept, first line, admit, dial, pass, end; beside them probe, discovery and stop.
+//! `serve` runs them round the reducer.
+mod accept;
+mod admit;
+mod dial;
+mod discovery;
+mod end;
+mod first_line;
+mod pass;
+mod probe;
+pub mod serve;
+mod stop;
+
+use crate::clock::Clock;
+use crate::reducer::Event;
+use hallrelay::types::{Micros, SessId};
+use hallrelay_config::facts::ReportOrder;
+use hallrelay_config::limits::Limits;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::sync::mpsc;
+
+/// What the reducer asks of one connection's task.
+#[derive(Debug)]
+enum Command {
+    Pong,
+    Dial { dial: u32, addr: SocketAddr, wait: Micros },
+    Pass,
+    Answer(Vec<u8>),
+    Move,
+    Close,
+}
+
+/// What all tasks share: ways to the reducer and back, limits, time and the log. No state of sessions.
+#[derive(Clone)]
+struct Hub {
+    events: mpsc::Sender<Event>,
+    conns: Rc<RefCell<BTreeMap<SessId, mpsc::Sender<Command>>>>,
+    last_id: Rc<Cell<SessId>>,
+    limits: Limits,
+    order: ReportOrder,
+    clock: Clock,
+    log: slog::Logger,
+}
+
+impl Hub {
+    async fn tell(&self, event: Event) {
+        // The reducer's end closes only with the program.
+        _ = self.events.send(event).await;
+    }
+
+    /// A new connection's id: counted up, and not one that is in use after the count went round.
+    fn register(&self) -> (SessId, mpsc::Receiver<Command>) {
+        let mut conns = self.conns.borrow_mut();
+        let mut id = self.last_id.get().wrapping_add(1);
+        while conns.contains_key(&id) {
+            id = id.wrapping_add(1);
+        }
+        self.last_id.set(id);
+        let (to, commands) = mpsc::channel(self.limits.commands);
+        conns.insert(id, to);
+        (id, commands)
+    }
+
+    fn command(&self, conn: SessId, command: Command) {
+        if let Some(to) = self.conns.borrow().get(&conn) {
+            if to.try_send(command).is_err() {
+                slog::debug!(self.log, "a command came too late"; "conn" => conn);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/net/pass.rs
@@ -0,0 +1,242 @@
+//! An open session: lines pass both ways unchanged, and what they tell of load and delay goes to the reducer.
+use super::dial::Backend;
+use super::{end, Command, Hub};
+use crate::buffer::Buffer;
+use crate::lines::{self, Said};
+use crate::reducer::Event;
+use hallrelay::types::{DialEnd, Micros, Report, SessId};
+use std::collections::VecDeque;
+use std::io::ErrorKind;
+use std::ops::Range;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc::Receiver;
+use tokio::time::sleep_until;
+
+/// How an open session ends, as its task sees it.
+enum Over {
+    ClientEnded,
+    ClientBroke,
+    /// The backend ended it, with its last word where it had one.
+    Backend(DialEnd, Option<Report>),
+    /// The reducer wants it moved.
+    Moved,
+    Closed,
+}
+
+/// What was heard on a session's lines.
+struct Ear<'a> {
+    conn: SessId,
+    hub: &'a Hub,
+    /// When messages came from the client whose answers are awaited, the oldest first.
+    unanswered: VecDeque<Micros>,
+    told: Micros,
+    last: Option<(DialEnd, Option<Report>)>,
+}
+
+impl Ear<'_> {
+    fn client_lines(&mut self, lines: &[u8]) {
+        let now = self.hub.clock.now();
+        for _ in lines.windows(2).filter(|w| *w == lines::END) {
+            if self.unanswered.len() < self.hub.limits.unanswered {
+                self.unanswered.push_back(now);
+            }
+        }
+    }
+
+    async fn backend_lines(&mut self, mut lines: &[u8]) {
+        while let Some(at) = lines.windows(2).position(|w| w == lines::END) {
+            match lines::said(&lines[..at], self.hub.order) {
+                Said::Load(load) => self.hub.tell(Event::Load { sess: self.conn, load }).await,
+                Said::Bye(report) => self.last = Some((DialEnd::Ok, report)),
+                Said::Move => self.last = Some((DialEnd::Recalled, None)),
+                _ => {
+                    if let Some(then) = self.unanswered.pop_front() {
+                        let time = self.hub.clock.now() - then;
+                        self.hub.tell(Event::Took { sess: self.conn, time }).await;
+                    }
+                }
+            }
+            lines = &lines[at + 2..];
+        }
+    }
+
+    /// Tells how long the oldest message has waited; true once that is too long.
+    async fn waits(&mut self) -> bool {
+        let now = self.hub.clock.now();
+        let Some(&then) = self.unanswered.front() else { return false };
+        if now >= then.max(self.told) + TELL {
+            self.told = now;
+            self.hub.tell(Event::Took { sess: self.conn, time: now - then }).await;
+        }
+        now >= then + self.hub.limits.silence
+    }
+}
+
+/// A message that waits is told of this often: twice within the time that a delay counts as news.
+const TELL: Micros = 1_000_000;
+
+pub async fn run(
+    conn: SessId,
+    client: TcpStream,
+    mut up: Buffer,
+    backend: Backend,
+    mut commands: Receiver<Command>,
+    hub: &Hub,
+) {
+    let Backend { stream: backend, buffer: mut down, up: receipt } = backend;
+    let mut ear = Ear { conn, hub, unanswered: VecDeque::new(), told: 0, last: None };
+    let over = if end::write(&client, &receipt, hub.limits.stuck).await {
+        drop(receipt);
+        ear.client_lines(up.lines());
+        ear.backend_lines(down.lines()).await;
+        both(&client, &mut up, &backend, &mut down, &mut commands, &mut ear).await
+    } else {
+        Over::ClientBroke
+    };
+    match over {
+        Over::ClientEnded => {
+            hub.tell(Event::Gone { sess: conn }).await;
+            if end::write(&backend, up.lines(), hub.limits.end).await {
+                end::orderly(backend, hub.limits.end).await;
+            }
+        }
+        Over::ClientBroke => end::abrupt(backend),
+        Over::Closed => {}
+        Over::Backend(how, report) => {
+            hub.tell(Event::Ended { sess: conn, end: how, report }).await;
+            // Guards a client that would not know why: whom no last word told, is told to come again.
+            let word: &[u8] = if how == DialEnd::Reset { lines::MOVE } else { b"" };
+            drop(backend);
+            say(client, &down, word, hub).await;
+        }
+        Over::Moved => {
+            drop(backend);
+            say(client, &down, lines::MOVE, hub).await;
+            hub.tell(Event::Ended { sess: conn, end: DialEnd::Recalled, report: None }).await;
+        }
+    }
+}
+
+/// Whole lines that wait go first, then the word, then the end.
+async fn say(client: TcpStream, down: &Buffer, word: &[u8], hub: &Hub) {
+    let last = [down.lines(), word].concat();
+    end::answer(client, &last, hub).await;
+}
+
+async fn both(
+    client: &TcpStream,
+    up: &mut Buffer,
+    backend: &TcpStream,
+    down: &mut Buffer,
+    commands: &mut Receiver<Command>,
+    ear: &mut Ear<'_>,
+) -> Over {
+    let (limits, clock) = (&ear.hub.limits, ear.hub.clock);
+    let first = limits.buffer_first;
+    // Since when the client has taken nothing of what waits for it.
+    let mut held: Option<Micros> = None;
+    loop {
+        let (to_client, to_backend) = (!down.lines().is_empty(), !up.lines().is_empty());
+        held = if to_client { held.or(Some(clock.now())) } else { None };
+        let wake = match (held, ear.unanswered.front()) {
+            (Some(then), _) => then + limits.stuck,
+            (None, Some(&then)) => (then.max(ear.told) + TELL).min(then + limits.silence),
+            (None, None) => Micros::MAX / 2,
+        };
+        let idle = held.is_none() && ear.unanswered.is_empty();
+        tokio::select! {
+            command = commands.recv() => match command {
+                Some(Command::Move) => return Over::Moved,
+                _ => return Over::Closed,
+            },
+            ready = client.readable(), if up.has_room() => {
+                let Some(lines) = came(ready, up, client) else { continue };
+                match lines {
+                    Ok((0, _)) => return Over::ClientEnded,
+                    Ok((_, lines)) => ear.client_lines(up.part(lines)),
+                    Err(()) => return Over::ClientBroke,
+                }
+                if up.partial() >= limits.line {
+                    return Over::ClientBroke;
+                }
+                if goes(up, backend, first).is_err() {
+                    return gone(ear);
+                }
+            }
+            ready = backend.readable(), if down.has_room() => {
+                let Some(lines) = came(ready, down, backend) else { continue };
+                match lines {
+                    Ok((0, _)) | Err(()) => return gone(ear),
+                    Ok((_, lines)) => ear.backend_lines(down.part(lines)).await,
+                }
+                if down.partial() >= limits.line {
+                    return Over::Backend(DialEnd::Reset, None);
+                }
+                match goes(down, client, first) {
+                    Ok(0) => {}
+                    Ok(_) => held = None,
+                    Err(()) => return Over::ClientBroke,
+                }
+            }
+            ready = backend.writable(), if to_backend => {
+                if ready.is_err() || goes(up, backend, first).is_err() {
+                    return gone(ear);
+                }
+            }
+            ready = client.writable(), if to_client => {
+                if ready.is_err() {
+                    return Over::ClientBroke;
+                }
+                match goes(down, client, first) {
+                    Ok(0) => {}
+                    Ok(_) => held = None,
+                    Err(()) => return Over::ClientBroke,
+                }
+            }
+            () = sleep_until(clock.at(wake)), if !idle => {
+                if held.is_some_and(|then| clock.now() >= then + limits.stuck) {
+                    return Over::ClientBroke;
+                }
+                // While the client takes nothing, its backend's silence is its own doing.
+                if held.is_none() && ear.waits().await {
+                    return Over::Backend(DialEnd::Reset, None);
+                }
+            }
+        }
+    }
+}
+
+/// The backend's connection is over: with its last word, or without one.
+fn gone(ear: &mut Ear) -> Over {
+    let (end, report) = ear.last.take().unwrap_or((DialEnd::Reset, None));
+    Over::Backend(end, report)
+}
+
+type Came = Result<(usize, Range<usize>), ()>;
+
+/// What a read brought; none where there was nothing yet.
+fn came(ready: std::io::Result<()>, buffer: &mut Buffer, stream: &TcpStream) -> Option<Came> {
+    if ready.is_err() {
+        return Some(Err(()));
+    }
+    match buffer.read(stream) {
+        Ok(got) => Some(Ok(got)),
+        Err(e) if e.kind() == ErrorKind::WouldBlock => None,
+        Err(_) => Some(Err(())),
+    }
+}
+
+/// Writes on what it can of the whole lines.
+fn goes(buffer: &mut Buffer, stream: &TcpStream, first: usize) -> Result<usize, ()> {
+    if buffer.lines().is_empty() {
+        return Ok(0);
+    }
+    match buffer.write(stream) {
+        Ok(count) => {
+            buffer.shrink(first);
+            Ok(count)
+        }
+        Err(e) if e.kind() == ErrorKind::WouldBlock => Ok(0),
+        Err(_) => Err(()),
+    }
+}
--- /dev/null
+++ b/relay/src/net/probe.rs
@@ -0,0 +1,80 @@
+//! Probes of one backend, one at a time, on a connection that is kept for the next one.
+use super::{end, first_line, Hub};
+use crate::buffer::Buffer;
+use crate::clock::span;
+use crate::lines::{self, Said};
+use crate::reducer::Event;
+use hallrelay::types::{DialEnd, Report, ServerId};
+use std::net::SocketAddr;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc::Receiver;
+use tokio::time::timeout;
+
+/// Serves the probes that are asked for until nobody can ask any more.
+pub async fn run(server: ServerId, keep: bool, mut asked: Receiver<SocketAddr>, hub: Hub) {
+    let mut kept: Option<(SocketAddr, TcpStream, Buffer)> = None;
+    loop {
+        let next = if kept.is_some() {
+            match timeout(span(hub.limits.probe_idle), asked.recv()).await {
+                Ok(next) => next,
+                Err(_) => {
+                    kept = None;
+                    continue;
+                }
+            }
+        } else {
+            asked.recv().await
+        };
+        let Some(addr) = next else { return };
+        let usable = kept.take().filter(|(at, stream, _)| *at == addr && idle(stream));
+        let one = async {
+            let (stream, mut buffer) = match usable {
+                Some((_, stream, buffer)) => (stream, buffer),
+                None => (connect(addr, &hub).await?, Buffer::new(hub.limits.buffer_first, hub.limits.line)),
+            };
+            let report = ask(&stream, &mut buffer, &hub).await?;
+            Ok((report, (addr, stream, buffer)))
+        };
+        let (end, report) = match timeout(span(hub.limits.probe), one).await {
+            Ok(Ok((report, connection))) => {
+                kept = Some(connection).filter(|_| keep);
+                (DialEnd::Ok, report)
+            }
+            Ok(Err((end, report))) => (end, report),
+            Err(_) => (DialEnd::Timeout, None),
+        };
+        hub.tell(Event::Probed { server, end, report }).await;
+    }
+}
+
+/// A kept connection that says something unasked, or has ended, is of no use.
+fn idle(stream: &TcpStream) -> bool {
+    let mut byte = [0u8; 1];
+    matches!(stream.try_read(&mut byte), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
+}
+
+type Fault = (DialEnd, Option<Report>);
+
+async fn connect(addr: SocketAddr, hub: &Hub) -> Result<TcpStream, Fault> {
+    match timeout(span(hub.limits.connect), TcpStream::connect(addr)).await {
+        Ok(Ok(stream)) => {
+            _ = stream.set_nodelay(true);
+            Ok(stream)
+        }
+        _ => Err((DialEnd::Unconnected, None)),
+    }
+}
+
+async fn ask(stream: &TcpStream, buffer: &mut Buffer, hub: &Hub) -> Result<Option<Report>, Fault> {
+    let limits = &hub.limits;
+    if !end::write(stream, lines::STATS, limits.probe).await {
+        return Err((DialEnd::Reset, None));
+    }
+    let answer = first_line::line(stream, buffer, limits.line).await.ok_or((DialEnd::Reset, None))?;
+    match lines::said(&answer, hub.order) {
+        Said::Pong(report) => Ok(report),
+        Said::Busy(report) => Err((DialEnd::Full, report)),
+        Said::Error(report) => Err((DialEnd::Error, report)),
+        _ => Err((DialEnd::Error, None)),
+    }
+}
--- /dev/null
+++ b/relay/src/net/serve.rs
@@ -0,0 +1,136 @@
+//! Runs the relay: events go to the reducer in order of arrival, its effects to the tasks.
+use super::{accept, discovery, probe, stop, Command, Hub};
+use crate::clock::Clock;
+use crate::lines;
+use crate::reducer::{Alarm, Effect, Event, Reducer};
+use hallrelay::types::{Micros, ServerId};
+use hallrelay_config::node::Node;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::TcpSocket;
+use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
+use tokio::time::sleep_until;
+
+/// What carries the effects out, and the little that this takes: timers, probe tasks, the watch.
+struct Hands {
+    hub: Hub,
+    discovery: SocketAddr,
+    /// By time, and in order of asking.
+    alarms: BTreeMap<(Micros, u64), Alarm>,
+    asked: u64,
+    probes: BTreeMap<ServerId, mpsc::Sender<SocketAddr>>,
+    watch: Option<AbortHandle>,
+    exit: bool,
+}
+
+/// Serves until it is told to stop and is empty.
+pub async fn run(node: Node, log: slog::Logger) -> std::io::Result<()> {
+    let limits = node.limits;
+    let (events, mut arrived) = mpsc::channel(limits.events);
+    let clock = Clock::anchored();
+    let hub = Hub {
+        events,
+        conns: Rc::new(RefCell::new(BTreeMap::new())),
+        last_id: Rc::new(Cell::new(0)),
+        limits,
+        order: node.site.report,
+        clock,
+        log: log.clone(),
+    };
+    // A wave of clients that return at once waits here, and not for its own next try.
+    const BACKLOG: u32 = 1024;
+    let socket = if node.listen.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(node.listen)?;
+    let listener = socket.listen(BACKLOG)?;
+    slog::info!(log, "serving"; "name" => &node.name, "listen" => %node.listen, "limits" => ?limits);
+
+    let mut hands = Hands {
+        hub: hub.clone(),
+        discovery: node.discovery,
+        alarms: BTreeMap::new(),
+        asked: 0,
+        probes: BTreeMap::new(),
+        watch: None,
+        exit: false,
+    };
+    let (mut reducer, mut effects) = (Reducer::new(node), Vec::new());
+    reducer.start(clock.now(), &mut effects);
+    hands.carry_out(&mut effects);
+    tokio::task::spawn_local(accept::run(listener, hub.clone()));
+    tokio::task::spawn_local(stop::run(hub));
+    while !hands.exit {
+        let next = hands.alarms.first_key_value().map_or(Micros::MAX / 2, |((at, _), _)| *at);
+        let event = tokio::select! {
+            biased;
+            event = arrived.recv() => event,
+            () = sleep_until(clock.at(next)) => None,
+        };
+        let now = clock.now();
+        if let Some(event) = event {
+            reducer.step(now, event, &mut effects);
+            hands.carry_out(&mut effects);
+        }
+        while let Some(alarm) = hands.due(now) {
+            reducer.step(now, Event::Alarm(alarm), &mut effects);
+            hands.carry_out(&mut effects);
+        }
+    }
+    slog::info!(log, "empty, and stopping");
+    Ok(())
+}
+
+impl Hands {
+    fn due(&mut self, now: Micros) -> Option<Alarm> {
+        let first = self.alarms.first_entry().filter(|first| first.key().0 <= now)?;
+        Some(first.remove())
+    }
+
+    fn carry_out(&mut self, effects: &mut Vec<Effect>) {
+        for effect in effects.drain(..) {
+            match effect {
+                Effect::Pong { conn } => self.hub.command(conn, Command::Pong),
+                Effect::Dial { sess, dial, addr, wait } => {
+                    self.hub.command(sess, Command::Dial { dial, addr, wait });
+                }
+                Effect::Pass { sess } => self.hub.command(sess, Command::Pass),
+                Effect::Refuse { sess, retry_after } => {
+                    self.hub.command(sess, Command::Answer(lines::busy(retry_after / 1000)));
+                }
+                Effect::TearDown { sess } => self.hub.command(sess, Command::Answer(lines::FAIL.to_vec())),
+                Effect::Move { sess } => self.hub.command(sess, Command::Move),
+                Effect::Close { sess } => self.hub.command(sess, Command::Close),
+                Effect::Probe { server, addr } => self.probe(server, addr),
+                Effect::Forget { server } => _ = self.probes.remove(&server),
+                Effect::Watch { since } => {
+                    let task = discovery::run(self.discovery, since, self.hub.clone());
+                    let task = tokio::task::spawn_local(task).abort_handle();
+                    if let Some(before) = self.watch.replace(task) {
+                        before.abort();
+                    }
+                }
+                Effect::Alarm { after, alarm } => {
+                    self.asked += 1;
+                    self.alarms.insert((self.hub.clock.now() + after, self.asked), alarm);
+                }
+                Effect::Exit => self.exit = true,
+            }
+        }
+    }
+
+    fn probe(&mut self, server: ServerId, addr: SocketAddr) {
+        let keep = self.probes.len() < self.hub.limits.probes;
+        let to = self.probes.entry(server).or_insert_with(|| {
+            // The module asks for one probe of a server at a time.
+            let (to, asked) = mpsc::channel(1);
+            tokio::task::spawn_local(probe::run(server, keep, asked, self.hub.clone()));
+            to
+        });
+        if to.try_send(addr).is_err() {
+            slog::warn!(self.hub.log, "a probe was asked for while one is out"; "server" => server);
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/reducer.rs
@@ -0,0 +1,485 @@
+//! The one place where the relay's state changes: `step` takes an event and appends effects. It hands the
+//! decision module its inputs and turns its effects into reading, writing, dialling and timers, which tasks
+//! carry out. It reads no clock and no socket, and decides nothing that the module decides.
+use crate::lines::Open;
+use hallrelay::logic::Relay;
+use hallrelay::types::{
+    self as module, Asked, DialEnd, Entry, Input, ListKind, Micros, Phase, Report, ServerId, SessId,
+};
+use hallrelay_config::list::{Instance, List};
+use hallrelay_config::node::Node;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// A connection asks whether this relay is able to serve.
+    Ping {
+        conn: SessId,
+    },
+    /// A client's first line, and what is left of its dial timeout.
+    Opened {
+        sess: SessId,
+        open: Open,
+        left: Micros,
+    },
+    /// The client's connection is over.
+    Gone {
+        sess: SessId,
+    },
+    Up {
+        sess: SessId,
+        dial: u32,
+    },
+    DialEnded {
+        sess: SessId,
+        dial: u32,
+        end: DialEnd,
+        report: Option<Report>,
+    },
+    /// An open session ended at its backend's side.
+    Ended {
+        sess: SessId,
+        end: DialEnd,
+        report: Option<Report>,
+    },
+    Load {
+        sess: SessId,
+        load: f64,
+    },
+    /// A message of an open session took this long, or has waited this long.
+    Took {
+        sess: SessId,
+        time: Micros,
+    },
+    Probed {
+        server: ServerId,
+        end: DialEnd,
+        report: Option<Report>,
+    },
+    List(List),
+    ListBroken,
+    Alarm(Alarm),
+    Stop,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Alarm {
+    Module(u32),
+    /// The answer is due.
+    Due(SessId),
+    /// A standing connection is dialled again.
+    Again(SessId),
+    /// Sessions are moved while the relay stops.
+    Emptying,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    Pong {
+        conn: SessId,
+    },
+    Dial {
+        sess: SessId,
+        dial: u32,
+        addr: SocketAddr,
+        wait: Micros,
+    },
+    /// From here on lines pass both ways.
+    Pass {
+        sess: SessId,
+    },
+    /// The final answers that no backend gave.
+    Refuse {
+        sess: SessId,
+        retry_after: Micros,
+    },
+    TearDown {
+        sess: SessId,
+    },
+    Move {
+        sess: SessId,
+    },
+    /// Ends the connection without a word.
+    Close {
+        sess: SessId,
+    },
+    Probe {
+        server: ServerId,
+        addr: SocketAddr,
+    },
+    Forget {
+        server: ServerId,
+    },
+    Watch {
+        since: u64,
+    },
+    Alarm {
+        after: Micros,
+        alarm: Alarm,
+    },
+    Exit,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Stage {
+    Admit,
+    Dial,
+    Pass,
+    /// Told to move; ends with its backend's connection.
+    Moving,
+}
+
+struct Sess {
+    stage: Stage,
+    server: Option<ServerId>,
+    dials: u32,
+    due: Micros,
+    /// A connection that stood before this relay started: not the module's until it is up.
+    standing: Option<Asked>,
+}
+
+struct Server {
+    name: String,
+    addr: SocketAddr,
+    phase: Phase,
+    probing: bool,
+    delay: Delay,
+}
+
+/// What the module was told of a server's message delays.
+#[derive(Default)]
+struct Delay {
+    told: Micros,
+    over: bool,
+}
+
+pub struct Reducer {
+    node: Node,
+    module: Relay,
+    now: Micros,
+    sessions: BTreeMap<SessId, Sess>,
+    servers: BTreeMap<ServerId, Server>,
+    ids: BTreeMap<String, ServerId>,
+    generation: u64,
+    /// Connections that wait for a `PONG`.
+    pings: Vec<SessId>,
+    stopping: Option<Micros>,
+    asks: Vec<module::Effect>,
+}
+
+impl Reducer {
+    pub fn new(node: Node) -> Reducer {
+        Reducer {
+            module: Relay::new(node.site.facts.clone(), node.seed),
+            node,
+            now: 0,
+            sessions: BTreeMap::new(),
+            servers: BTreeMap::new(),
+            ids: BTreeMap::new(),
+            generation: 0,
+            pings: Vec::new(),
+            stopping: None,
+            asks: Vec::new(),
+        }
+    }
+
+    /// Begins with the list as this relay last had it.
+    pub fn start(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        let known = List { whole: true, ..self.node.known.clone() };
+        self.step(now, Event::List(known), out);
+    }
+
+    pub fn step(&mut self, now: Micros, event: Event, out: &mut Vec<Effect>) {
+        self.now = now;
+        match event {
+            Event::Ping { conn } => {
+                self.pings.push(conn);
+                self.pong(out);
+            }
+            Event::Opened { sess, open, left } => self.opened(sess, open, left, out),
+            Event::Gone { sess } => {
+                if let Some(s) = self.sessions.remove(&sess) {
+                    if s.standing.is_none() {
+                        self.tell(Input::Left { sess }, out);
+                    }
+                }
+                self.pings.retain(|conn| *conn != sess);
+            }
+            Event::Up { sess, dial } if self.current(sess, dial) => self.up(sess, dial, out),
+            Event::DialEnded { sess, dial, end, report } if self.current(sess, dial) => {
+                self.dial_ended(sess, dial, end, report, out);
+            }
+            Event::Ended { sess, end, report } => {
+                let Some(s) = self.sessions.remove(&sess) else { return };
+                let dial = s.dials - 1;
+                self.tell(Input::DialEnded { sess, dial, end, settled: true, report }, out);
+            }
+            Event::Load { sess, load } if self.passing(sess) => self.tell(Input::Load { sess, load }, out),
+            Event::Took { sess, time } if self.passing(sess) => self.took(sess, time, out),
+            Event::Probed { server, end, report } => {
+                self.servers.entry(server).and_modify(|v| v.probing = false);
+                self.tell(Input::Probed { server, end, report }, out);
+            }
+            Event::List(list) => self.list(list, out),
+            Event::ListBroken => {
+                self.tell(Input::List { kind: ListKind::Broken, entries: Vec::new() }, out);
+            }
+            Event::Alarm(alarm) => self.alarm(alarm, out),
+            Event::Stop => {
+                if self.stopping.replace(now).is_none() {
+                    let after = self.node.limits.stop_from;
+                    out.push(Effect::Alarm { after, alarm: Alarm::Emptying });
+                }
+            }
+            // Of a dial or a session that is over.
+            Event::Up { .. } | Event::DialEnded { .. } | Event::Load { .. } | Event::Took { .. } => {}
+        }
+    }
+
+    fn tell(&mut self, input: Input, out: &mut Vec<Effect>) {
+        let mut asks = std::mem::take(&mut self.asks);
+        self.module.step(self.now, input, &mut asks);
+        asks.drain(..).for_each(|ask| self.carry(ask, out));
+        self.asks = asks;
+    }
+
+    /// What the module asks for, in the program's own effects.
+    fn carry(&mut self, ask: module::Effect, out: &mut Vec<Effect>) {
+        match ask {
+            module::Effect::Dial { sess, server, wait } => {
+                let Some(s) = self.sessions.get_mut(&sess) else { return };
+                (s.stage, s.server, s.dials) = (Stage::Dial, Some(server), s.dials + 1);
+                let addr = self.servers[&server].addr;
+                out.push(Effect::Dial { sess, dial: s.dials - 1, addr, wait });
+            }
+            module::Effect::Refuse { sess, retry_after } => {
+                self.sessions.remove(&sess);
+                out.push(Effect::Refuse { sess, retry_after });
+            }
+            module::Effect::TearDown { sess } => {
+                self.sessions.remove(&sess);
+                out.push(Effect::TearDown { sess });
+            }
+            module::Effect::Move { sess } => self.move_on(sess, out),
+            module::Effect::Probe { server } => {
+                let Some(v) = self.servers.get_mut(&server) else { return };
+                v.probing = true;
+                out.push(Effect::Probe { server, addr: v.addr });
+            }
+            module::Effect::Alarm { after, label } => {
+                out.push(Effect::Alarm { after, alarm: Alarm::Module(label) });
+            }
+            module::Effect::Watch => out.push(Effect::Watch { since: self.generation }),
+        }
+    }
+
+    fn current(&self, sess: SessId, dial: u32) -> bool {
+        self.sessions.get(&sess).is_some_and(|s| s.stage == Stage::Dial && s.dials == dial + 1)
+    }
+
+    fn passing(&self, sess: SessId) -> bool {
+        self.sessions.get(&sess).is_some_and(|s| s.stage == Stage::Pass)
+    }
+
+    fn pong(&mut self, out: &mut Vec<Effect>) {
+        if !self.servers.is_empty() && self.stopping.is_none() {
+            out.extend(self.pings.drain(..).map(|conn| Effect::Pong { conn }));
+        }
+    }
+
+    fn opened(&mut self, sess: SessId, open: Open, left: Micros, out: &mut Vec<Effect>) {
+        let Some(listener) = self.node.site.listeners.iter().position(|name| *name == open.listener) else {
+            return out.push(Effect::Close { sess });
+        };
+        let most = self.node.site.dial_timeouts[listener];
+        let asked = Asked {
+            listener,
+            key: open.key,
+            group: open.group,
+            returned: open.returned,
+            left: left.min(most),
+        };
+        let standing = open.at.is_some().then_some(asked);
+        let left = if standing.is_some() { left.min(self.node.limits.standing) } else { asked.left };
+        let due = self.now + left;
+        let s = Sess { stage: Stage::Admit, server: None, dials: 0, due, standing };
+        self.sessions.insert(sess, s);
+        out.push(Effect::Alarm { after: left, alarm: Alarm::Due(sess) });
+        match open.at {
+            None => self.tell(Input::Asked { sess, asked }, out),
+            Some(name) => match self.ids.get(&name) {
+                Some(&server) => {
+                    self.sessions.entry(sess).and_modify(|s| s.server = Some(server));
+                    self.again(sess, out);
+                }
+                None => self.tear_down(sess, out),
+            },
+        }
+    }
+
+    fn tear_down(&mut self, sess: SessId, out: &mut Vec<Effect>) {
+        self.sessions.remove(&sess);
+        out.push(Effect::TearDown { sess });
+    }
+
+    /// Dials the backend of a standing connection.
+    fn again(&mut self, sess: SessId, out: &mut Vec<Effect>) {
+        let Some(s) = self.sessions.get_mut(&sess).filter(|s| s.stage == Stage::Admit) else { return };
+        let Some(addr) = s.server.and_then(|id| self.servers.get(&id)).map(|v| v.addr) else {
+            return self.tear_down(sess, out);
+        };
+        (s.stage, s.dials) = (Stage::Dial, s.dials + 1);
+        out.push(Effect::Dial { sess, dial: s.dials - 1, addr, wait: s.due - self.now });
+    }
+
+    fn up(&mut self, sess: SessId, dial: u32, out: &mut Vec<Effect>) {
+        let Some(s) = self.sessions.get_mut(&sess) else { return };
+        s.stage = Stage::Pass;
+        out.push(Effect::Pass { sess });
+        match (s.standing.take(), s.server) {
+            (Some(asked), Some(server)) => {
+                s.dials = 1; // the module counts the dial that it never asked for as the first
+                self.tell(Input::AlreadyOpen { sess, server, asked }, out);
+            }
+            _ => self.tell(Input::Stands { sess, dial }, out),
+        }
+    }
+
+    fn dial_ended(
+        &mut self,
+        sess: SessId,
+        dial: u32,
+        end: DialEnd,
+        report: Option<Report>,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(s) = self.sessions.get_mut(&sess) else { return };
+        s.stage = Stage::Admit;
+        if s.standing.is_some() {
+            // Often enough within the time that standing connections have, seldom enough for a full backend.
+            const AGAIN: Micros = 200_000;
+            let alarm = Alarm::Again(sess);
+            return out.push(Effect::Alarm { after: AGAIN, alarm });
+        }
+        // Served to its end at once: its last line is its answer.
+        let settled = end == DialEnd::Ok;
+        if settled {
+            self.sessions.remove(&sess);
+        }
+        self.tell(Input::DialEnded { sess, dial, end, settled, report }, out);
+    }
+
+    /// Tells the module as a server's messages grow slow, once a second, and once more when that is over.
+    fn took(&mut self, sess: SessId, time: Micros, out: &mut Vec<Effect>) {
+        const SECOND: Micros = 1_000_000;
+        let Some(v) = self.sessions[&sess].server.and_then(|id| self.servers.get_mut(&id)) else { return };
+        // Below a third of what the keenest listener wants nobody feels it.
+        let targets = self.node.site.facts.listeners.iter().map(|l| l.message_target);
+        let over = time > targets.min().unwrap_or(SECOND) / 3;
+        if self.now < v.delay.told + SECOND || (!over && !v.delay.over) {
+            return;
+        }
+        v.delay = Delay { told: self.now, over };
+        self.tell(Input::Delay { sess, delay: time as f64 / 1e6 }, out);
+    }
+
+    fn move_on(&mut self, sess: SessId, out: &mut Vec<Effect>) {
+        let Some(s) = self.sessions.get_mut(&sess).filter(|s| s.stage == Stage::Pass) else { return };
+        s.stage = Stage::Moving;
+        out.push(Effect::Move { sess });
+    }
+
+    fn list(&mut self, list: List, out: &mut Vec<Effect>) {
+        self.generation = list.generation;
+        if list.whole {
+            self.servers.values_mut().for_each(|v| v.phase = Phase::Gone);
+        }
+        let kind = if list.whole { ListKind::Full } else { ListKind::Changes };
+        let entries = list.instances.into_iter().map(|one| self.entry(one)).collect();
+        self.tell(Input::List { kind, entries }, out);
+        self.forget(out);
+        self.pong(out);
+    }
+
+    fn entry(&mut self, one: Instance) -> Entry {
+        let server = match self.ids.get(&one.id) {
+            Some(&server) => server,
+            None => {
+                let mut server = server_id(&one.id);
+                while self.servers.contains_key(&server) {
+                    server = server.wrapping_add(1);
+                }
+                self.ids.insert(one.id.clone(), server);
+                server
+            }
+        };
+        let fresh = || Server {
+            name: one.id.clone(),
+            addr: one.addr,
+            phase: one.phase,
+            probing: false,
+            delay: Delay::default(),
+        };
+        let v = self.servers.entry(server).or_insert_with(fresh);
+        (v.addr, v.phase) = (one.addr, one.phase);
+        let zone = self.node.site.zones.iter().position(|name| *name == one.zone);
+        let zone = zone.and_then(|at| u8::try_from(at).ok()).unwrap_or(u8::MAX);
+        Entry { server, phase: one.phase, came_up: one.came_up, zone, cell: one.cell }
+    }
+
+    /// What is gone is forgotten once nothing names it, or a long life would gather all there ever were.
+    fn forget(&mut self, out: &mut Vec<Effect>) {
+        let gone: Vec<ServerId> =
+            self.servers.iter().filter(|(_, v)| v.phase == Phase::Gone && !v.probing).map(|v| *v.0).collect();
+        for server in gone {
+            if self.sessions.values().any(|s| s.server == Some(server)) {
+                continue;
+            }
+            if let Some(v) = self.servers.remove(&server) {
+                self.ids.remove(&v.name);
+                out.push(Effect::Forget { server });
+            }
+        }
+    }
+
+    fn alarm(&mut self, alarm: Alarm, out: &mut Vec<Effect>) {
+        match alarm {
+            Alarm::Module(label) => self.tell(Input::Alarm { label }, out),
+            Alarm::Again(sess) => self.again(sess, out),
+            Alarm::Due(sess) => {
+                // The module has answered by now, and dials end before; nothing may be said from here on.
+                let Some(s) = self.sessions.get(&sess) else { return };
+                if matches!(s.stage, Stage::Admit | Stage::Dial) {
+                    let standing = s.standing.is_some();
+                    self.tear_down(sess, out);
+                    if !standing {
+                        self.tell(Input::Left { sess }, out);
+                    }
+                }
+            }
+            Alarm::Emptying => self.empty(out),
+        }
+    }
+
+    /// Moves the open sessions bit by bit, so that the backends are not asked for all of them at once.
+    fn empty(&mut self, out: &mut Vec<Effect>) {
+        const TICK: Micros = 50_000;
+        let limits = self.node.limits;
+        let since = self.now - self.stopping.unwrap_or(self.now);
+        if self.sessions.is_empty() && since >= limits.stop_least {
+            return out.push(Effect::Exit);
+        }
+        let open: Vec<SessId> =
+            self.sessions.iter().filter(|(_, s)| s.stage == Stage::Pass).map(|(id, _)| *id).collect();
+        let ticks = limits.stop_by.saturating_sub(since) / TICK + 1;
+        let part = open.len().div_ceil(ticks as usize);
+        open.into_iter().take(part).for_each(|sess| self.move_on(sess, out));
+        out.push(Effect::Alarm { after: TICK, alarm: Alarm::Emptying });
+    }
+}
+
+/// The same at every relay, since relays rank servers by it alike without a word (FNV-1a).
+fn server_id(name: &str) -> ServerId {
+    name.bytes().fold(0x811c_9dc5, |hash, b| (hash ^ u32::from(b)).wrapping_mul(0x0100_0193))
+}
--- a/simhost/src/main.rs
+++ b/simhost/src/main.rs
@@ -1,13 +1,13 @@
 //! Hosts many instances of the decision module on the simulator's wire: standard input to standard output.
-mod facts;
 mod wire;
 
 use hallrelay::logic::Relay;
+use hallrelay_config::facts::ReportOrder;
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::process::ExitCode;
 
-use wire::{Event, Reply, ReportOrder};
+use wire::{Event, Reply};
 
 fn serve(input: &mut impl Read, output: &mut impl Write) -> Result<(), String> {
     let mut relays: BTreeMap<u16, (Relay, ReportOrder)> = BTreeMap::new();
@@ -20,9 +20,9 @@
             let (instance, event) =
                 batch.event(index, |i| relays.get(&i).map(|(_, order)| *order).unwrap_or_default())?;
             match event {
-                Event::Start { seed, settings } => match facts::decode(settings) {
-                    Ok((site, order)) => {
-                        relays.insert(instance, (Relay::new(site, seed), order));
+                Event::Start { seed, settings } => match hallrelay_config::settings(settings) {
+                    Ok(site) => {
+                        relays.insert(instance, (Relay::new(site.facts, seed), site.report));
                     }
                     Err(what) => {
                         relays.remove(&instance);
--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -1,5 +1,6 @@
 //! The simulator's frames: batches of events in, replies of actions out. Little-endian, no padding.
-use hallrelay::types::{Asked, DialEnd, Effect, Entry, Input, ListKind, Micros, Phase, Report};
+use hallrelay::types::{Asked, DialEnd, Effect, Entry, Input, ListKind, Micros, Phase};
+use hallrelay_config::facts::{RawReport, ReportOrder};
 use std::io::{ErrorKind, Read};
 
 const EVENT: usize = 56;
@@ -87,22 +88,6 @@
     Ok((n > 0).then_some(values))
 }
 
-type RawReport = [Option<f64>; 4];
-
-/// Which of a report's values are the ones that decisions read.
-#[derive(Clone, Copy, Default)]
-pub struct ReportOrder {
-    pub load: Option<usize>,
-    pub piled: Option<usize>,
-}
-
-impl ReportOrder {
-    fn pick(self, raw: RawReport) -> Report {
-        let at = |i: Option<usize>| i.and_then(|i| raw[i]);
-        Report { load: at(self.load), piled: at(self.piled) }
-    }
-}
-
 pub struct Batch<'a> {
     pub now: Micros,
     pub count: usize,
--- a/simhost/tests/bad_input.rs
+++ b/simhost/tests/bad_input.rs
@@ -55,5 +55,5 @@
         String::from_utf8_lossy(&out.stdout[36..]).into_owned()
     };
     assert!(start(b"{nonsense").contains("not JSON"));
-    assert_eq!(start(b"{\"Rules\": {}}"), "settings lack Ceilings");
+    assert_eq!(start(b"{\"Rules\": {}}"), "settings: Ceilings is missing");
 }
