--- a/relay/src/main.rs
+++ b/relay/src/main.rs
@@ -20,9 +20,9 @@
     Serve {
         #[command(flatten)]
         given: Given,
-        /// Log more: every connection that is turned away, every command that came too late.
-        #[arg(long)]
-        verbose: bool,
+        /// Log more: what is turned away or comes too late; given twice, every event and effect.
+        #[arg(long, short, action = clap::ArgAction::Count)]
+        verbose: u8,
     },
     /// Read and check a relay's configuration, say what it holds, and do nothing else.
     Check {
@@ -81,7 +81,11 @@
         }
         What::Serve { given, verbose } => {
             let node = given.read()?;
-            let level = if verbose { slog::Level::Debug } else { slog::Level::Info };
+            let level = match verbose {
+                0 => slog::Level::Info,
+                1 => slog::Level::Debug,
+                _ => slog::Level::Trace,
+            };
             let drain = slog_term::FullFormat::new(slog_term::PlainDecorator::new(std::io::stderr())).build();
             // Lines are written by a thread of their own, and dropped rather than waited for.
             let drain = slog_async::Async::new(drain.fuse())
--- a/relay/src/net/serve.rs
+++ b/relay/src/net/serve.rs
@@ -71,6 +71,7 @@
         };
         let now = clock.now();
         if let Some(event) = event {
+            slog::trace!(log, "event"; "what" => ?event);
             reducer.step(now, event, &mut effects);
             hands.carry_out(&mut effects);
         }
@@ -91,6 +92,7 @@
 
     fn carry_out(&mut self, effects: &mut Vec<Effect>) {
         for effect in effects.drain(..) {
+            slog::trace!(self.hub.log, "effect"; "what" => ?effect);
             match effect {
                 Effect::Pong { conn } => self.hub.command(conn, Command::Pong),
                 Effect::Dial { sess, dial, addr, wait } => {
--- a/relay/src/reducer.rs
+++ b/relay/src/reducer.rs
@@ -150,7 +150,7 @@
 /// What the module was told of a server's message delays.
 #[derive(Default)]
 struct Delay {
-    told: Micros,
+    told: Option<Micros>,
     over: bool,
 }
 
@@ -199,10 +199,8 @@
             }
             Event::Opened { sess, open, left } => self.opened(sess, open, left, out),
             Event::Gone { sess } => {
-                if let Some(s) = self.sessions.remove(&sess) {
-                    if s.standing.is_none() {
-                        self.tell(Input::Left { sess }, out);
-                    }
+                if self.sessions.remove(&sess).is_some_and(|s| s.standing.is_none()) {
+                    self.tell(Input::Left { sess }, out);
                 }
                 self.pings.retain(|conn| *conn != sess);
             }
@@ -212,7 +210,7 @@
             }
             Event::Ended { sess, end, report } => {
                 let Some(s) = self.sessions.remove(&sess) else { return };
-                let dial = s.dials - 1;
+                let dial = s.dials.saturating_sub(1);
                 self.tell(Input::DialEnded { sess, dial, end, settled: true, report }, out);
             }
             Event::Load { sess, load } if self.passing(sess) => self.tell(Input::Load { sess, load }, out),
@@ -250,17 +248,17 @@
             module::Effect::Dial { sess, server, wait } => {
                 let Some(s) = self.sessions.get_mut(&sess) else { return };
                 (s.stage, s.server, s.dials) = (Stage::Dial, Some(server), s.dials + 1);
-                let addr = self.servers[&server].addr;
-                out.push(Effect::Dial { sess, dial: s.dials - 1, addr, wait });
+                let dial = s.dials - 1;
+                if let Some(v) = self.servers.get(&server) {
+                    return out.push(Effect::Dial { sess, dial, addr: v.addr, wait });
+                }
+                let end = DialEnd::Unconnected;
+                self.tell(Input::DialEnded { sess, dial, end, settled: false, report: None }, out);
             }
             module::Effect::Refuse { sess, retry_after } => {
-                self.sessions.remove(&sess);
-                out.push(Effect::Refuse { sess, retry_after });
-            }
-            module::Effect::TearDown { sess } => {
-                self.sessions.remove(&sess);
-                out.push(Effect::TearDown { sess });
+                self.answer(sess, Effect::Refuse { sess, retry_after }, out);
             }
+            module::Effect::TearDown { sess } => self.answer(sess, Effect::TearDown { sess }, out),
             module::Effect::Move { sess } => self.move_on(sess, out),
             module::Effect::Probe { server } => {
                 let Some(v) = self.servers.get_mut(&server) else { return };
@@ -313,28 +311,43 @@
                     self.sessions.entry(sess).and_modify(|s| s.server = Some(server));
                     self.again(sess, out);
                 }
-                None => self.tear_down(sess, out),
+                None => self.answer(sess, Effect::TearDown { sess }, out),
             },
         }
     }
 
-    fn tear_down(&mut self, sess: SessId, out: &mut Vec<Effect>) {
-        self.sessions.remove(&sess);
-        out.push(Effect::TearDown { sess });
+    /// The final answer, or none where the client's time is up: rule 1, for a relay that stood still.
+    fn answer(&mut self, sess: SessId, answer: Effect, out: &mut Vec<Effect>) {
+        let Some(s) = self.sessions.remove(&sess) else { return };
+        let late = self.now > s.due + self.node.limits.answer_margin;
+        out.push(if late { Effect::Close { sess } } else { answer });
     }
 
     /// Dials the backend of a standing connection.
     fn again(&mut self, sess: SessId, out: &mut Vec<Effect>) {
         let Some(s) = self.sessions.get_mut(&sess).filter(|s| s.stage == Stage::Admit) else { return };
         let Some(addr) = s.server.and_then(|id| self.servers.get(&id)).map(|v| v.addr) else {
-            return self.tear_down(sess, out);
+            return self.answer(sess, Effect::TearDown { sess }, out);
         };
         (s.stage, s.dials) = (Stage::Dial, s.dials + 1);
         out.push(Effect::Dial { sess, dial: s.dials - 1, addr, wait: s.due - self.now });
     }
 
+    /// The time of a session is up without an answer.
+    fn lapse(&mut self, sess: SessId, out: &mut Vec<Effect>) {
+        let theirs = self.sessions.get(&sess).is_some_and(|s| s.standing.is_none());
+        self.answer(sess, Effect::TearDown { sess }, out);
+        if theirs {
+            self.tell(Input::Left { sess }, out);
+        }
+    }
+
     fn up(&mut self, sess: SessId, dial: u32, out: &mut Vec<Effect>) {
-        let Some(s) = self.sessions.get_mut(&sess) else { return };
+        let late = self.now.saturating_sub(self.node.limits.answer_margin);
+        let Some(s) = self.sessions.get_mut(&sess).filter(|s| s.due >= late) else {
+            // The client's time is up: its backend's answer goes nowhere.
+            return self.lapse(sess, out);
+        };
         s.stage = Stage::Pass;
         out.push(Effect::Pass { sess });
         match (s.standing.take(), s.server) {
@@ -377,10 +390,11 @@
         // Below a third of what the keenest listener wants nobody feels it.
         let targets = self.node.site.facts.listeners.iter().map(|l| l.message_target);
         let over = time > targets.min().unwrap_or(SECOND) / 3;
-        if self.now < v.delay.told + SECOND || (!over && !v.delay.over) {
+        let news = v.delay.told.is_none_or(|then| self.now >= then + SECOND);
+        if !news || (!over && !v.delay.over) {
             return;
         }
-        v.delay = Delay { told: self.now, over };
+        v.delay = Delay { told: Some(self.now), over };
         self.tell(Input::Delay { sess, delay: time as f64 / 1e6 }, out);
     }
 
@@ -448,14 +462,10 @@
             Alarm::Module(label) => self.tell(Input::Alarm { label }, out),
             Alarm::Again(sess) => self.again(sess, out),
             Alarm::Due(sess) => {
-                // The module has answered by now, and dials end before; nothing may be said from here on.
-                let Some(s) = self.sessions.get(&sess) else { return };
-                if matches!(s.stage, Stage::Admit | Stage::Dial) {
-                    let standing = s.standing.is_some();
-                    self.tear_down(sess, out);
-                    if !standing {
-                        self.tell(Input::Left { sess }, out);
-                    }
+                // Dials end and the module answers before this; it guards against a task that does neither.
+                let unanswered = |s: &&Sess| matches!(s.stage, Stage::Admit | Stage::Dial);
+                if self.sessions.get(&sess).filter(unanswered).is_some() {
+                    self.lapse(sess, out);
                 }
             }
             Alarm::Emptying => self.empty(out),
--- /dev/null
+++ b/tests/helpers/mod.rs
@@ -0,0 +1,334 @@
+//! What relay scenarios are played against.
+//! `Program` is the reducer without sockets. Backends are named as in the list; a site line may say
+//! `known=NAME,NAME` for the list that the relay starts with. Inputs:
+//!   `ping CONN`, `ask SESS LISTENER [wait=MS] [at=NAME]`, `gone SESS`, `up SESS DIAL`, `fell SESS DIAL HOW`,
+//!   `ended SESS HOW`, `took SESS MS`, `list full|changes VERSION NAME[:draining|:gone] ..`, `list broken`,
+//!   `probe NAME load=X [piled=X]`, `stop`, `run`, each with `stalled` where no alarm could go off before it; `first LINE` and `said LINE` show what a parser makes of a
+//!   line; `node KEY..` shows what is said where that key of the configuration is missing.
+//! `Loopback` is the program on sockets of 127.0.0.1. A line is `WHO DEED [TEXT]`: letters are clients, digits are
+//! backends (`1` and `2`, known from the start), `list` is discovery. Deeds: `>` sends a line, `>>` sends text
+//! without a line's end, `<` waits for a line (the effect), `ends`, `resets`, `over` waits for the end (the effect),
+//! `none` looks that no connection comes. A star in a wanted line stands for anything.
+use crate::{dial_end, millis, num, option, Fault, Subject};
+use hallrelay::types::{Micros, Report};
+use hallrelay_config::facts::ReportOrder;
+use hallrelay_config::node::{self, Node, Told};
+use hallrelay_relay::lines;
+use hallrelay_relay::reducer::{Effect, Event, Reducer};
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::time::Duration;
+
+fn text(listen: &str, discovery: &str, backends: &[(String, String)]) -> Value {
+    let listener = |name: &str, utility: f64, kind: &str| {
+        json!({"Name": name, "Utility": utility, "Effect": kind, "Group": "all", "Window": 1000,
+            "HandshakeTarget": 300, "DialTimeout": 2000})
+    };
+    let instance =
+        |(id, addr): &(String, String)| json!({"instanceId": id, "hostPort": addr, "lifecycle": "up"});
+    json!({"name": "n1", "listen": listen, "discovery": discovery, "seed": "07",
+        "limits": {"sockets": 256},
+        "known": {"generation": 1, "reset": true, "instances": backends.iter().map(instance).collect::<Vec<_>>()},
+        "settings": {
+            "Listeners": [listener("low", 1.0, "retryable"), listener("high", 5.0, "retryable"),
+                listener("once", 5.0, "fragile")],
+            "Ceilings": {"MayProbe": false, "MostDials": 4, "MaxOpen": 1000, "RetryAfter": false,
+                "ConnectTimeout": 250},
+            "Rules": {"Cold": 10000, "ColdFrom": 0.2, "FallMultiple": 3, "DrainGrace": 250, "AskWithin": 10000},
+            "Charges": {"CrossZone": 0, "Moves": 0, "Probe": 0},
+            "FamilyInfo": {"Mode": "proxy", "Groups": true, "MessageAim": [60, 60, 60]},
+            "Report": {"How": "on_probe", "Fields": ["inflight", "x0", "x1"]},
+            "Discovery": "subscribe", "FailureDomains": ["here"], "Zone": 0, "Instances": 1, "SlotNo": 0}})
+}
+
+fn node(text: &Value) -> Result<Node, Fault> {
+    node::parse(text.to_string().as_bytes(), &Told::default())
+}
+
+/// An address that stands for a backend's name, and back.
+fn addr(name: &str) -> String {
+    let number: u16 = name.trim_start_matches("s-").parse().unwrap_or(0);
+    format!("127.0.0.1:{}", 1000 + number)
+}
+
+#[derive(Default)]
+pub struct Program {
+    known: Vec<(String, String)>,
+    reducer: Option<Reducer>,
+    alarms: BTreeMap<(Micros, usize), hallrelay_relay::reducer::Alarm>,
+    asked: usize,
+    effects: Vec<Effect>,
+    said: Vec<String>,
+    /// Probes go by server, scenarios by name.
+    probed: BTreeMap<String, u32>,
+}
+
+impl Program {
+    fn step(&mut self, now: Micros, event: Event) -> Result<(), Fault> {
+        let mut out = Vec::new();
+        if self.reducer.is_none() {
+            let mut reducer = Reducer::new(node(&text("127.0.0.1:1", "127.0.0.1:2", &self.known))?);
+            reducer.start(now, &mut out);
+            self.reducer = Some(reducer);
+        }
+        self.reducer.as_mut().expect("just made").step(now, event, &mut out);
+        for effect in &out {
+            if let Effect::Alarm { after, alarm } = *effect {
+                self.asked += 1;
+                self.alarms.insert((now + after, self.asked), alarm);
+            }
+            if let Effect::Probe { server, addr } = effect {
+                self.probed.insert(format!("s-{}", addr.port() - 1000), *server);
+            }
+        }
+        self.effects.append(&mut out);
+        Ok(())
+    }
+
+    fn event(&self, words: &[&str]) -> Result<Option<Event>, Fault> {
+        let at = |i: usize| words.get(i).copied().ok_or(format!("'{}' is too short", words.join(" ")));
+        let sess = || num(at(1)?);
+        Ok(Some(match at(0)? {
+            "run" => return Ok(None),
+            "stop" => Event::Stop,
+            "ping" => Event::Ping { conn: sess()? },
+            "gone" => Event::Gone { sess: sess()? },
+            "ask" => {
+                let wait = option(words, "wait").unwrap_or("2000");
+                let at_backend = option(words, "at").map(str::to_string);
+                let open =
+                    lines::Open { listener: at(2)?.to_string(), at: at_backend, ..lines::Open::default() };
+                Event::Opened { sess: sess()?, open, left: millis(wait)? }
+            }
+            "up" => Event::Up { sess: sess()?, dial: num(at(2)?)? },
+            "fell" => {
+                let (dial, end) = (num(at(2)?)?, dial_end(at(3)?)?);
+                Event::DialEnded { sess: sess()?, dial, end, report: None }
+            }
+            "ended" => Event::Ended { sess: sess()?, end: dial_end(at(2)?)?, report: None },
+            "took" => Event::Took { sess: sess()?, time: millis(at(2)?)? },
+            "probe" => {
+                let value = |key| option(words, key).map(num).transpose();
+                let report = Some(Report { load: value("load")?, piled: value("piled")? });
+                let server = *self.probed.get(at(1)?).ok_or("no probe is out there")?;
+                Event::Probed { server, end: hallrelay::types::DialEnd::Ok, report }
+            }
+            "list" if at(1)? == "broken" => Event::ListBroken,
+            "list" => {
+                let instances = words[3..].iter().map(|word| {
+                    let (id, mark) = word.split_once(':').unwrap_or((word, ""));
+                    let phase = match mark {
+                        "" => "up",
+                        "gone" => "removed",
+                        other => other,
+                    };
+                    json!({"instanceId": id, "hostPort": addr(id), "lifecycle": phase})
+                });
+                let list = json!({"generation": num::<u64>(at(2)?)?, "reset": at(1)? == "full",
+                    "instances": instances.collect::<Vec<_>>()});
+                Event::List(hallrelay_config::list::parse(list.to_string().as_bytes())?)
+            }
+            other => return Err(format!("unknown input '{other}'")),
+        }))
+    }
+}
+
+impl Subject for Program {
+    fn site(&mut self, words: &[&str]) -> Result<(), Fault> {
+        let known = option(words, "known").ok_or("a site line says known=NAME,NAME")?;
+        self.known = known.split(',').map(|name| (name.to_string(), addr(name))).collect();
+        Ok(())
+    }
+
+    fn input(&mut self, now: Micros, words: &[&str]) -> Result<(), Fault> {
+        self.effects.clear();
+        self.said.clear();
+        let order = ReportOrder { load: Some(1), piled: Some(2), by_cores: false };
+        match words.first().copied().unwrap_or("") {
+            "first" => {
+                let line = words[1..].join(" ").replace("\\t", "\t");
+                let read = lines::first(line.as_bytes());
+                self.said.push(read.map_or("not well formed".to_string(), |first| match first {
+                    lines::First::Ping => "ping".to_string(),
+                    lines::First::Open(o) => {
+                        let onward = lines::onward(line.as_bytes(), &o.wait_at, 7);
+                        format!("{} goes on as {}", o.listener, String::from_utf8_lossy(&onward).trim_end())
+                    }
+                }));
+            }
+            "said" => self.said.push(format!("{:?}", lines::said(words[1..].join(" ").as_bytes(), order))),
+            "node" => {
+                let mut text = text("127.0.0.1:1", "127.0.0.1:2", &self.known);
+                let (key, path) = words[1..].split_last().ok_or("which key?")?;
+                let place = path.iter().fold(&mut text, |at, key| &mut at[*key]);
+                place.as_object_mut().ok_or("no such place")?.remove(*key);
+                self.said.push(node(&text).err().unwrap_or("nothing".to_string()));
+            }
+            _ => {
+                let stalled = words.contains(&"stalled");
+                let due = |k: &(Micros, usize)| k.0 < now && !stalled;
+                while let Some((&key, &alarm)) = self.alarms.first_key_value().filter(|(k, _)| due(k)) {
+                    self.alarms.remove(&key);
+                    self.step(key.0, Event::Alarm(alarm))?;
+                }
+                if let Some(event) = self.event(words)? {
+                    self.step(now, event)?;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn effects(&mut self) -> Vec<String> {
+        let shown = self.effects.iter().map(|effect| match effect {
+            Effect::Pong { conn } => format!("pong {conn}"),
+            Effect::Dial { sess, addr, wait, .. } => {
+                format!("dial {sess} at s-{} for {}", addr.port() - 1000, wait / 1000)
+            }
+            Effect::Pass { sess } => format!("pass {sess}"),
+            Effect::Refuse { sess, .. } => format!("refuse {sess}"),
+            Effect::TearDown { sess } => format!("tear down {sess}"),
+            Effect::Move { sess } => format!("move {sess}"),
+            Effect::Close { sess } => format!("close {sess}"),
+            Effect::Probe { addr, .. } => format!("probe s-{}", addr.port() - 1000),
+            Effect::Forget { .. } => "forget".to_string(),
+            Effect::Watch { since } => format!("watch since {since}"),
+            Effect::Alarm { .. } => "alarm".to_string(),
+            Effect::Exit => "exit".to_string(),
+        });
+        self.said.iter().cloned().chain(shown).collect()
+    }
+}
+
+/// How long the loopback waits for what must come, and for what must not.
+const SOON: Duration = Duration::from_secs(10);
+const QUIET: Duration = Duration::from_millis(300);
+
+#[derive(Default)]
+pub struct Loopback {
+    relay: Option<std::net::SocketAddr>,
+    listeners: BTreeMap<String, TcpListener>,
+    peers: BTreeMap<String, BufReader<TcpStream>>,
+    got: Vec<String>,
+}
+
+impl Loopback {
+    fn start(&mut self) -> Result<(), Fault> {
+        let bind = || TcpListener::bind("127.0.0.1:0").map_err(|e| e.to_string());
+        let (place, discovery) = (bind()?.local_addr().map_err(|e| e.to_string())?, bind()?);
+        let mut known = Vec::new();
+        for name in ["1", "2"] {
+            let listener = bind()?;
+            known.push((name.to_string(), listener.local_addr().map_err(|e| e.to_string())?.to_string()));
+            self.listeners.insert(name.to_string(), listener);
+        }
+        let found = discovery.local_addr().map_err(|e| e.to_string())?.to_string();
+        self.listeners.insert("list".to_string(), discovery);
+        let node = node(&text(&place.to_string(), &found, &known))?;
+        // It ends with the test's process.
+        std::thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+            let log = slog::Logger::root(slog::Discard, slog::o!());
+            let served = hallrelay_relay::net::serve::run(node, log);
+            tokio::task::LocalSet::new().block_on(&runtime.expect("a runtime"), served).expect("it serves");
+        });
+        self.relay = Some(place);
+        Ok(())
+    }
+
+    fn connect(&self) -> Result<TcpStream, Fault> {
+        let place = self.relay.ok_or("not started")?;
+        let started = std::time::Instant::now();
+        loop {
+            match TcpStream::connect(place) {
+                Ok(stream) => return Ok(stream),
+                Err(_) if started.elapsed() < SOON => std::thread::sleep(Duration::from_millis(10)),
+                Err(e) => return Err(e.to_string()),
+            }
+        }
+    }
+
+    /// A client's connection is made as it is first named, a backend's as it is waited for.
+    fn peer(&mut self, who: &str) -> Result<&mut BufReader<TcpStream>, Fault> {
+        if !self.peers.contains_key(who) {
+            let stream = match self.listeners.get(who) {
+                Some(listener) => accepted(listener, SOON).ok_or(format!("nobody dials {who}"))?,
+                None => self.connect()?,
+            };
+            stream.set_read_timeout(Some(SOON)).map_err(|e| e.to_string())?;
+            self.peers.insert(who.to_string(), BufReader::new(stream));
+        }
+        Ok(self.peers.get_mut(who).expect("just there"))
+    }
+}
+
+fn accepted(listener: &TcpListener, within: Duration) -> Option<TcpStream> {
+    listener.set_nonblocking(true).ok()?;
+    let started = std::time::Instant::now();
+    while started.elapsed() < within {
+        if let Ok((stream, _)) = listener.accept() {
+            stream.set_nonblocking(false).ok()?;
+            return Some(stream);
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    None
+}
+
+/// Whether a line is as wanted, where a star stands for anything.
+fn like(line: &str, wanted: &str) -> bool {
+    match wanted.split_once('*') {
+        None => line == wanted,
+        Some((head, tail)) => {
+            line.len() >= head.len() + tail.len() && line.starts_with(head) && line.ends_with(tail)
+        }
+    }
+}
+
+impl Subject for Loopback {
+    fn site(&mut self, _: &[&str]) -> Result<(), Fault> {
+        Err("the loopback has one site".to_string())
+    }
+
+    fn input(&mut self, _: Micros, words: &[&str]) -> Result<(), Fault> {
+        self.got.clear();
+        if self.relay.is_none() {
+            self.start()?;
+        }
+        let [who, deed, rest @ ..] = words else { return Err("too short".to_string()) };
+        let rest = rest.join(" ");
+        let told = |e: std::io::Error| format!("{who}: {e}");
+        match *deed {
+            ">" => self.peer(who)?.get_mut().write_all(format!("{rest}\r\n").as_bytes()).map_err(told)?,
+            ">>" => self.peer(who)?.get_mut().write_all(rest.as_bytes()).map_err(told)?,
+            "<" => {
+                let mut line = String::new();
+                self.peer(who)?.read_line(&mut line).map_err(told)?;
+                let line = line.strip_suffix("\r\n").unwrap_or("an end without a line").to_string();
+                self.got.push(if like(&line, &rest) { "so".to_string() } else { line });
+            }
+            "over" => {
+                let mut waste = Vec::new();
+                // A reset is an end as well.
+                _ = self.peer(who)?.read_to_end(&mut waste);
+                self.got.push(if waste.is_empty() { "so".into() } else { format!("{} bytes", waste.len()) });
+                self.peers.remove(*who);
+            }
+            "ends" => _ = self.peers.remove(*who),
+            "none" => {
+                let listener = self.listeners.get(*who).ok_or("only backends are dialled")?;
+                let came = accepted(listener, QUIET).is_some();
+                self.got.push(if came { "a connection came".into() } else { "so".into() });
+            }
+            "shuts" => _ = self.listeners.remove(*who),
+            other => return Err(format!("unknown deed '{other}'")),
+        }
+        Ok(())
+    }
+
+    fn effects(&mut self) -> Vec<String> {
+        self.got.clone()
+    }
+}
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1,13 +1,18 @@
-//! Plays the text scenarios of `tests/scenarios/` against the module alone. A scenario is a list of lines:
+//! Plays text scenarios: those of `tests/scenarios/` against the module alone, of `tests/relay/` against the
+//! reducer without sockets, of `tests/loopback/` against the program over loopback. A scenario is a list of lines:
 //!   `site NAME=VALUE ..`        facts that differ from the default site (first line, optional)
 //!   `MS INPUT ..`               an input at that time; alarms that are due are played before it
 //!   `=> EFFECT`                 what this must have led to: all effects on sessions, in order, or `none`
 //! `#` starts a comment. Probes and alarms are checked only where a line `=> probe SERVER` asks for them.
+//! `tests/helpers/` tells what inputs the reducer and the loopback know.
+mod helpers;
+
 use hallrelay::logic::Relay;
 use hallrelay::types::*;
+use helpers::{Loopback, Program};
 use std::collections::BTreeMap;
 
-type Fault = String;
+pub type Fault = String;
 const LISTENERS: [&str; 5] = ["low", "high", "once", "ref", "ref-cell"];
 
 fn site() -> SiteFacts {
@@ -34,15 +39,15 @@
     }
 }
 
-fn num<T: std::str::FromStr>(word: &str) -> Result<T, Fault> {
+pub fn num<T: std::str::FromStr>(word: &str) -> Result<T, Fault> {
     word.parse().map_err(|_| format!("'{word}' is not a number"))
 }
 
-fn option<'a>(words: &'a [&str], key: &str) -> Option<&'a str> {
+pub fn option<'a>(words: &'a [&str], key: &str) -> Option<&'a str> {
     words.iter().find_map(|w| w.strip_prefix(key)?.strip_prefix('='))
 }
 
-fn millis(word: &str) -> Result<Micros, Fault> {
+pub fn millis(word: &str) -> Result<Micros, Fault> {
     Ok((num::<f64>(word)? * 1000.0) as Micros)
 }
 
@@ -91,7 +96,7 @@
     })
 }
 
-fn dial_end(word: &str) -> Result<DialEnd, Fault> {
+pub fn dial_end(word: &str) -> Result<DialEnd, Fault> {
     use DialEnd::*;
     let words = ["ok", "error", "full", "timeout", "unconnected", "reset", "recalled", "moot"];
     let ends = [Ok, Error, Full, Timeout, Unconnected, Reset, Recalled, Moot];
@@ -157,16 +162,27 @@
     }
 }
 
-struct Play {
-    relay: Relay,
+/// What scenarios are played against.
+pub trait Subject {
+    fn site(&mut self, words: &[&str]) -> Result<(), Fault>;
+    fn input(&mut self, now: Micros, words: &[&str]) -> Result<(), Fault>;
+    /// The effects since the last line that was an input.
+    fn effects(&mut self) -> Vec<String>;
+}
+
+#[derive(Default)]
+struct Module {
+    site: Option<SiteFacts>,
+    relay: Option<Relay>,
     alarms: BTreeMap<(Micros, usize), u32>,
     effects: Vec<Effect>,
 }
 
-impl Play {
+impl Module {
     fn step(&mut self, now: Micros, input: Input) {
         let mut out = Vec::new();
-        self.relay.step(now, input, &mut out);
+        let facts = self.site.get_or_insert_with(site);
+        self.relay.get_or_insert_with(|| Relay::new(facts.clone(), 7)).step(now, input, &mut out);
         for effect in &out {
             if let Effect::Alarm { after, label } = *effect {
                 self.alarms.insert((now + after, self.alarms.len()), label);
@@ -174,77 +190,97 @@
         }
         self.effects.append(&mut out);
     }
+}
 
-    fn until(&mut self, now: Micros) {
+impl Subject for Module {
+    fn site(&mut self, words: &[&str]) -> Result<(), Fault> {
+        set_site(self.site.get_or_insert_with(site), words)
+    }
+
+    fn input(&mut self, now: Micros, words: &[&str]) -> Result<(), Fault> {
+        self.effects.clear();
         while let Some((&key, &label)) = self.alarms.first_key_value().filter(|(k, _)| k.0 < now) {
             self.alarms.remove(&key);
             self.step(key.0, Input::Alarm { label });
         }
+        inputs(words)?.into_iter().for_each(|input| self.step(now, input));
+        Ok(())
     }
 
-    /// Checks the effects since the last input against the lines that follow it.
-    fn check(&self, wanted: &[&str]) -> Result<(), Fault> {
-        let asked = |line: &str| wanted.contains(&line);
-        let told: Vec<String> = self.effects.iter().map(shown).collect();
-        let told = told.iter().filter(|l| asked(l) || !(l.starts_with("probe") || *l == "alarm"));
-        let told: Vec<&str> = told.map(String::as_str).collect();
-        let wanted: Vec<&str> = wanted.iter().copied().filter(|l| *l != "none").collect();
-        let same = told == wanted;
-        same.then_some(()).ok_or(format!("wanted {wanted:?}, got {told:?}"))
+    fn effects(&mut self) -> Vec<String> {
+        self.effects.iter().map(shown).collect()
     }
 }
 
-fn play(text: &str) -> Result<(), (usize, Fault)> {
+/// Checks effects against the lines that ask for them; probes, alarms and the like only where asked for.
+fn check(told: &[String], wanted: &[&str]) -> Result<(), Fault> {
+    const ASIDE: [&str; 4] = ["probe", "alarm", "watch", "forget"];
+    let aside = |l: &str| ASIDE.contains(&l.split(' ').next().unwrap_or(""));
+    let told: Vec<&str> =
+        told.iter().map(String::as_str).filter(|l| wanted.contains(l) || !aside(l)).collect();
+    let wanted: Vec<&str> = wanted.iter().copied().filter(|l| *l != "none").collect();
+    (told == wanted).then_some(()).ok_or(format!("wanted {wanted:?}, got {told:?}"))
+}
+
+fn play(text: &str, subject: &mut dyn Subject) -> Result<(), (usize, Fault)> {
     let lines = text.lines().enumerate().map(|(i, l)| (i + 1, l.split('#').next().unwrap_or("").trim()));
     let lines: Vec<(usize, &str)> = lines.filter(|(_, l)| !l.is_empty()).collect();
-    let (mut facts, mut checks) = (site(), 0);
-    let mut play = None;
+    let (mut checks, mut begun) = (0, false);
     for (i, &(number, line)) in lines.iter().enumerate() {
         let fault = |what: Fault| (number, what);
         let words: Vec<&str> = line.split_whitespace().collect();
-        if words[0] == "site" && play.is_none() {
-            set_site(&mut facts, &words[1..]).map_err(fault)?;
+        if words[0] == "site" && !begun {
+            subject.site(&words[1..]).map_err(fault)?;
         } else if words[0] != "=>" {
-            let now = millis(words[0]).map_err(fault)?;
-            let made =
-                || Play { relay: Relay::new(facts.clone(), 7), alarms: BTreeMap::new(), effects: vec![] };
-            let p = play.get_or_insert_with(made);
-            p.effects.clear();
-            p.until(now);
-            inputs(&words[1..]).map_err(fault)?.into_iter().for_each(|input| p.step(now, input));
+            begun = true;
+            subject.input(millis(words[0]).map_err(fault)?, &words[1..]).map_err(fault)?;
             let follow = lines[i + 1..].iter().map_while(|(_, l)| l.strip_prefix("=>"));
             let wanted: Vec<&str> = follow.map(str::trim).collect();
             if !wanted.is_empty() {
                 checks += 1;
-                p.check(&wanted).map_err(fault)?;
+                check(&subject.effects(), &wanted).map_err(fault)?;
             }
-        } else if play.is_none() {
+        } else if !begun {
             return Err(fault("an effect before any input".to_string()));
         }
     }
     (checks > 0).then_some(()).ok_or((lines.len(), "checks nothing".to_string()))
 }
 
-#[test]
-fn all_scenarios() {
-    let folder = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/scenarios");
+fn play_all<S: Subject + Default>(folder: &str) {
+    let folder = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("tests").join(folder);
     let files =
-        std::fs::read_dir(folder).expect("the scenarios' folder").map(|f| f.expect("an entry").path());
+        std::fs::read_dir(&folder).expect("the scenarios' folder").map(|f| f.expect("an entry").path());
     let mut files: Vec<_> = files.filter(|f| f.extension().is_some_and(|e| e == "txt")).collect();
     files.sort();
-    assert!(!files.is_empty(), "no scenario matches tests/scenarios/*.txt");
+    assert!(!files.is_empty(), "no scenario in {}", folder.display());
     let faults = files.iter().filter_map(|file| {
         let text = std::fs::read_to_string(file).expect("a readable scenario");
-        let (line, what) = play(&text).err()?;
+        let (line, what) = play(&text, &mut S::default()).err()?;
         Some(format!("{}:{line}: {what}", file.display()))
     });
     let faults: Vec<String> = faults.collect();
     assert!(faults.is_empty(), "{}", faults.join("\n"));
 }
 
+#[test]
+fn the_module() {
+    play_all::<Module>("scenarios");
+}
+
+#[test]
+fn the_reducer() {
+    play_all::<Program>("relay");
+}
+
+#[test]
+fn over_loopback() {
+    play_all::<Loopback>("loopback");
+}
+
 #[test]
 fn the_runner_names_what_is_wrong() {
-    let line = |text| play(text).map_err(|(line, _)| line);
+    let line = |text| play(text, &mut Module::default()).map_err(|(line, _)| line);
     assert_eq!(line("0 list full 1\n0 asq 7 low"), Err(2));
     assert_eq!(line("0 list full 1\n1 ask 7 low"), Err(2), "checks nothing");
     assert_eq!(line("0 list full 1\n5 ask 7 low\n=> refuse 7"), Err(2), "an effect that does not come");
