Long lines end their session wherever they come whole; loopback scenarios for stop and slow readers

Seen by reading: a line over the limit that came in one piece with its end was passed on, since only lines still partial were measured (pass.rs, both). The first line's limit counted its end in, so a line of exactly 4 KiB was turned away. Both checked over loopback.

--- a/config/src/limits.rs
+++ b/config/src/limits.rs
@@ -4,7 +4,7 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
-    /// Bytes of a line with its end, and what a connection's buffer begins with and may grow to.
+    /// Bytes of a line without its end, and what a connection's buffer begins with and may grow to.
     pub line: usize,
     pub buffer_first: usize,
     pub buffer_most: usize,
--- a/relay/src/buffer.rs
+++ b/relay/src/buffer.rs
@@ -8,14 +8,15 @@
     from: usize,
     till: usize,
     seen: usize,
-    /// End of the last whole line.
+    /// End of the last whole line, and where the lines begin that the last read made whole.
     whole: usize,
+    fresh: usize,
     most: usize,
 }
 
 impl Buffer {
     pub fn new(first: usize, most: usize) -> Buffer {
-        Buffer { bytes: vec![0; first], from: 0, till: 0, seen: 0, whole: 0, most }
+        Buffer { bytes: vec![0; first], from: 0, till: 0, seen: 0, whole: 0, fresh: 0, most }
     }
 
     pub fn has_room(&self) -> bool {
@@ -35,7 +36,7 @@
     pub fn take(&mut self, count: usize) {
         self.from += count;
         if self.from == self.till {
-            (self.from, self.till, self.seen, self.whole) = (0, 0, 0, 0);
+            (self.from, self.till, self.seen, self.whole, self.fresh) = (0, 0, 0, 0, 0);
         }
     }
 
@@ -62,12 +63,12 @@
         }
     }
 
-    /// Reads what is there once; 0 is the end. Returns where the lines that became whole stand.
-    pub fn read(&mut self, stream: &TcpStream) -> io::Result<(usize, std::ops::Range<usize>)> {
+    /// Reads what is there once; 0 is the end.
+    pub fn read(&mut self, stream: &TcpStream) -> io::Result<usize> {
         self.make_room();
         let count = stream.try_read(&mut self.bytes[self.till..])?;
         self.till += count;
-        let was = self.whole.max(self.from);
+        self.fresh = self.whole.max(self.from);
         let look = &self.bytes[self.seen..self.till];
         if let Some(at) = look.windows(2).rposition(|w| w == b"\r\n") {
             self.whole = self.seen + at + 2;
@@ -75,11 +76,17 @@
         self.whole = self.whole.max(self.from);
         // A line's end may come in two parts.
         self.seen = self.whole.max(self.till.saturating_sub(1));
-        Ok((count, was..self.whole))
+        Ok(count)
+    }
+
+    /// The lines that the last read made whole.
+    pub fn fresh(&self) -> &[u8] {
+        &self.bytes[self.fresh..self.whole]
     }
 
-    pub fn part(&self, range: std::ops::Range<usize>) -> &[u8] {
-        &self.bytes[range]
+    /// Keeps those lines from being passed on.
+    pub fn spurn_fresh(&mut self) {
+        self.whole = self.fresh;
     }
 
     /// Writes what it can of the whole lines.
--- a/relay/src/lines.rs
+++ b/relay/src/lines.rs
@@ -13,6 +13,17 @@
 pub const FAIL: &[u8] = b"FAIL\r\n";
 pub const STATS: &[u8] = b"STATS\r\n";
 
+/// The whole lines among some bytes, without their ends.
+pub fn whole(bytes: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let mut left = bytes;
+    std::iter::from_fn(move || {
+        let at = left.windows(END.len()).position(|w| w == END)?;
+        let line = &left[..at];
+        left = &left[at + END.len()..];
+        Some(line)
+    })
+}
+
 /// What a client's first line says.
 #[derive(Clone, Debug, PartialEq)]
 pub enum First {
--- a/relay/src/net/admit.rs
+++ b/relay/src/net/admit.rs
@@ -74,7 +74,7 @@
             return;
         }
         match buffer.read(client) {
-            Ok((0, _)) => return,
+            Ok(0) => return,
             Ok(_) => {}
             Err(e) if e.kind() == ErrorKind::WouldBlock => {}
             Err(_) => return,
--- a/relay/src/net/first_line.rs
+++ b/relay/src/net/first_line.rs
@@ -48,14 +48,14 @@
 pub async fn line(stream: &TcpStream, buffer: &mut Buffer, most: usize) -> Option<Vec<u8>> {
     loop {
         if let Some(line) = buffer.take_line() {
-            return (line.len() + lines::END.len() <= most).then_some(line);
+            return (line.len() <= most).then_some(line);
         }
-        if buffer.partial() >= most {
+        if buffer.partial() > most + lines::END.len() {
             return None;
         }
         stream.readable().await.ok()?;
         match buffer.read(stream) {
-            Ok((0, _)) => return None,
+            Ok(0) => return None,
             Ok(_) => {}
             Err(e) if e.kind() == ErrorKind::WouldBlock => {}
             Err(_) => return None,
--- a/relay/src/net/pass.rs
+++ b/relay/src/net/pass.rs
@@ -7,7 +7,6 @@
 use hallrelay::types::{DialEnd, Micros, Report, SessId};
 use std::collections::VecDeque;
 use std::io::ErrorKind;
-use std::ops::Range;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::Receiver;
 use tokio::time::sleep_until;
@@ -34,18 +33,23 @@
 }
 
 impl Ear<'_> {
-    fn client_lines(&mut self, lines: &[u8]) {
+    /// False where a line is longer than lines may be.
+    fn client_lines(&mut self, lines: &[u8]) -> bool {
         let now = self.hub.clock.now();
-        for _ in lines.windows(2).filter(|w| *w == lines::END) {
+        lines::whole(lines).all(|line| {
             if self.unanswered.len() < self.hub.limits.unanswered {
                 self.unanswered.push_back(now);
             }
-        }
+            line.len() <= self.hub.limits.line
+        })
     }
 
-    async fn backend_lines(&mut self, mut lines: &[u8]) {
-        while let Some(at) = lines.windows(2).position(|w| w == lines::END) {
-            match lines::said(&lines[..at], self.hub.order) {
+    async fn backend_lines(&mut self, lines: &[u8]) -> bool {
+        for line in lines::whole(lines) {
+            if line.len() > self.hub.limits.line {
+                return false;
+            }
+            match lines::said(line, self.hub.order) {
                 Said::Load(load) => self.hub.tell(Event::Load { sess: self.conn, load }).await,
                 Said::Bye(report) => self.last = Some((DialEnd::Ok, report)),
                 Said::Move => self.last = Some((DialEnd::Recalled, None)),
@@ -56,8 +60,8 @@
                     }
                 }
             }
-            lines = &lines[at + 2..];
         }
+        true
     }
 
     /// Tells how long the oldest message has waited; true once that is too long.
@@ -87,9 +91,12 @@
     let mut ear = Ear { conn, hub, unanswered: VecDeque::new(), told: 0, last: None };
     let over = if end::write(&client, &receipt, hub.limits.stuck).await {
         drop(receipt);
-        ear.client_lines(up.lines());
-        ear.backend_lines(down.lines()).await;
-        both(&client, &mut up, &backend, &mut down, &mut commands, &mut ear).await
+        let fit = ear.client_lines(up.lines()) && ear.backend_lines(down.lines()).await;
+        if fit {
+            both(&client, &mut up, &backend, &mut down, &mut commands, &mut ear).await
+        } else {
+            Over::ClientBroke
+        }
     } else {
         Over::ClientBroke
     };
@@ -132,7 +139,7 @@
     ear: &mut Ear<'_>,
 ) -> Over {
     let (limits, clock) = (&ear.hub.limits, ear.hub.clock);
-    let first = limits.buffer_first;
+    let (first, most) = (limits.buffer_first, limits.line + lines::END.len());
     // Since when the client has taken nothing of what waits for it.
     let mut held: Option<Micros> = None;
     loop {
@@ -150,27 +157,26 @@
                 _ => return Over::Closed,
             },
             ready = client.readable(), if up.has_room() => {
-                let Some(lines) = came(ready, up, client) else { continue };
-                match lines {
-                    Ok((0, _)) => return Over::ClientEnded,
-                    Ok((_, lines)) => ear.client_lines(up.part(lines)),
-                    Err(()) => return Over::ClientBroke,
-                }
-                if up.partial() >= limits.line {
-                    return Over::ClientBroke;
+                let Some(count) = came(ready, up, client) else { continue };
+                match count {
+                    Ok(0) => return Over::ClientEnded,
+                    Ok(_) if ear.client_lines(up.fresh()) && up.partial() <= most => {}
+                    // A line too long ends the session as a break does.
+                    _ => return Over::ClientBroke,
                 }
                 if goes(up, backend, first).is_err() {
                     return gone(ear);
                 }
             }
             ready = backend.readable(), if down.has_room() => {
-                let Some(lines) = came(ready, down, backend) else { continue };
-                match lines {
-                    Ok((0, _)) | Err(()) => return gone(ear),
-                    Ok((_, lines)) => ear.backend_lines(down.part(lines)).await,
-                }
-                if down.partial() >= limits.line {
-                    return Over::Backend(DialEnd::Reset, None);
+                let Some(count) = came(ready, down, backend) else { continue };
+                match count {
+                    Ok(0) | Err(()) => return gone(ear),
+                    Ok(_) if ear.backend_lines(down.fresh()).await && down.partial() <= most => {}
+                    Ok(_) => {
+                        down.spurn_fresh();
+                        return Over::Backend(DialEnd::Reset, None);
+                    }
                 }
                 match goes(down, client, first) {
                     Ok(0) => {}
@@ -212,10 +218,8 @@
     Over::Backend(end, report)
 }
 
-type Came = Result<(usize, Range<usize>), ()>;
-
 /// What a read brought; none where there was nothing yet.
-fn came(ready: std::io::Result<()>, buffer: &mut Buffer, stream: &TcpStream) -> Option<Came> {
+fn came(ready: std::io::Result<()>, buffer: &mut Buffer, stream: &TcpStream) -> Option<Result<usize, ()>> {
     if ready.is_err() {
         return Some(Err(()));
     }
--- a/relay/src/net/probe.rs
+++ b/relay/src/net/probe.rs
@@ -30,7 +30,9 @@
         let one = async {
             let (stream, mut buffer) = match usable {
                 Some((_, stream, buffer)) => (stream, buffer),
-                None => (connect(addr, &hub).await?, Buffer::new(hub.limits.buffer_first, hub.limits.line)),
+                None => {
+                    (connect(addr, &hub).await?, Buffer::new(hub.limits.buffer_first, hub.limits.buffer_most))
+                }
             };
             let report = ask(&stream, &mut buffer, &hub).await?;
             Ok((report, (addr, stream, buffer)))
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -8,7 +8,8 @@
 //! `Loopback` is the program on sockets of 127.0.0.1. A line is `WHO DEED [TEXT]`: letters are clients, digits are
 //! backends (`1` and `2`, known from the start), `list` is discovery. Deeds: `>` sends a line, `>>` sends text
 //! without a line's end, `<` waits for a line (the effect), `ends`, `resets`, `over` waits for the end (the effect),
-//! `none` looks that no connection comes. A star in a wanted line stands for anything.
+//! `none` looks that no connection comes, `shuts` ends a backend's listening, `floods` sends numbered lines until no
+//! more go, `drinks` reads them all again; `relay stops` is SIGTERM. A star in a wanted line stands for anything.
 use crate::{dial_end, millis, num, option, Fault, Subject};
 use hallrelay::types::{Micros, Report};
 use hallrelay_config::facts::ReportOrder;
@@ -212,6 +213,7 @@
     listeners: BTreeMap<String, TcpListener>,
     peers: BTreeMap<String, BufReader<TcpStream>>,
     got: Vec<String>,
+    flood: String,
 }
 
 impl Loopback {
@@ -299,6 +301,11 @@
         }
         let [who, deed, rest @ ..] = words else { return Err("too short".to_string()) };
         let rest = rest.join(" ");
+        // `x4097` is so many x.
+        let rest = match rest.strip_prefix('x').and_then(|n| n.parse().ok()) {
+            Some(count) => "x".repeat(count),
+            None => rest,
+        };
         let told = |e: std::io::Error| format!("{who}: {e}");
         match *deed {
             ">" => self.peer(who)?.get_mut().write_all(format!("{rest}\r\n").as_bytes()).map_err(told)?,
@@ -322,6 +329,34 @@
                 let came = accepted(listener, QUIET).is_some();
                 self.got.push(if came { "a connection came".into() } else { "so".into() });
             }
+            "floods" => {
+                // More than all buffers on the way hold, so that at some point nothing more goes.
+                let stream = self.peer(who)?.get_mut();
+                stream.set_write_timeout(Some(QUIET)).map_err(told)?;
+                let lines: String = (0..2_000_000).map(|i| format!("line {i}\r\n")).collect();
+                let mut from = 0;
+                while from < lines.len() {
+                    match stream.write(&lines.as_bytes()[from..(from + 65_536).min(lines.len())]) {
+                        Ok(count) => from += count,
+                        Err(_) => break,
+                    }
+                }
+                if from == lines.len() {
+                    return Err("all lines went".to_string());
+                }
+                self.flood = lines[..from].to_string();
+            }
+            "drinks" => {
+                let mut got = vec![0; self.flood.rfind("\r\n").ok_or("no flood")? + 2];
+                let wanted = self.flood.as_bytes()[..got.len()].to_vec();
+                self.peer(who)?.read_exact(&mut got).map_err(told)?;
+                self.got.push(if got == wanted { "so".into() } else { "other bytes".into() });
+            }
+            "stops" => {
+                // Every relay of this process is told; those of earlier scenarios are done with.
+                let kill = format!("kill -TERM {}", std::process::id());
+                std::process::Command::new("sh").args(["-c", &kill]).status().map_err(told)?;
+            }
             "shuts" => _ = self.listeners.remove(*who),
             other => return Err(format!("unknown deed '{other}'")),
         }
