--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -1,15 +1,17 @@
 //! What relay scenarios are played against.
 //! `Program` is the reducer without sockets. Backends are named as in the list; a site line may say
-//! `known=NAME,NAME` for the list that the relay starts with. Inputs:
+//! `known=NAME,NAME` for the list that the relay starts with. Inputs, each with `stalled` behind it where no alarm
+//! could go off before it:
 //!   `ping CONN`, `ask SESS LISTENER [wait=MS] [at=NAME]`, `gone SESS`, `up SESS DIAL`, `fell SESS DIAL HOW`,
 //!   `ended SESS HOW`, `took SESS MS`, `list full|changes VERSION NAME[:draining|:gone] ..`, `list broken`,
-//!   `probe NAME load=X [piled=X]`, `stop`, `run`, each with `stalled` where no alarm could go off before it; `first LINE` and `said LINE` show what a parser makes of a
+//!   `probe NAME load=X [piled=X]`, `stop`, `run`; `first LINE` and `said LINE` show what a parser makes of a
 //!   line; `node KEY..` shows what is said where that key of the configuration is missing.
-//! `Loopback` is the program on sockets of 127.0.0.1. A line is `WHO DEED [TEXT]`: letters are clients, digits are
-//! backends (`1` and `2`, known from the start), `list` is discovery. Deeds: `>` sends a line, `>>` sends text
-//! without a line's end, `<` waits for a line (the effect), `ends`, `resets`, `over` waits for the end (the effect),
-//! `none` looks that no connection comes, `shuts` ends a backend's listening, `floods` sends numbered lines until no
-//! more go, `drinks` reads them all again; `relay stops` is SIGTERM. A star in a wanted line stands for anything.
+//! `Loopback` is the program on sockets of 127.0.0.1. A line is `WHO DEED [TEXT]`: letters are clients, digits
+//! are backends (`1` and `2`, known from the start), `list` is discovery, a star in TEXT stands for anything. Deeds:
+//!   `>` sends a line, `>>` sends text without a line's end, `ends` closes the connection, `shuts` ends listening,
+//!   `floods` sends numbered lines until no more go; `relay stops` is SIGTERM. With an effect, which is `so`:
+//!   `<` takes that line, `over` takes the end, `none` sees no connection come, `waits MS` sees nothing come,
+//!   `drinks` takes all lines of the flood.
 use crate::{dial_end, millis, num, option, Fault, Subject};
 use hallrelay::types::{Micros, Report};
 use hallrelay_config::facts::ReportOrder;
@@ -329,6 +331,14 @@
                 let came = accepted(listener, QUIET).is_some();
                 self.got.push(if came { "a connection came".into() } else { "so".into() });
             }
+            "waits" => {
+                let quiet = Duration::from_millis(num(&rest)?);
+                let stream = self.peer(who)?.get_ref();
+                stream.set_read_timeout(Some(quiet)).map_err(told)?;
+                let early = matches!(stream.peek(&mut [0]), Ok(_));
+                stream.set_read_timeout(Some(SOON)).map_err(told)?;
+                self.got.push(if early { "something came".into() } else { "so".into() });
+            }
             "floods" => {
                 // More than all buffers on the way hold, so that at some point nothing more goes.
                 let stream = self.peer(who)?.get_mut();
