The list is watched also where relays are told of it unasked

That site's settings say that lists come unasked, so the module never asks, and on sockets only a watch tells: the relay lived on the list of its start. Line at fault: Reducer::start asked for nothing itself.

--- a/relay/src/net/accept.rs
+++ b/relay/src/net/accept.rs
@@ -22,14 +22,16 @@
         };
         // Lines are short and wait for nothing.
         _ = stream.set_nodelay(true);
-        let hub = hub.clone();
-        tokio::task::spawn_local(async move {
+        let (hub, log) = (hub.clone(), hub.log.clone());
+        let task = async move {
             let (conn, commands) = hub.register();
             first_line::run(conn, stream, commands, &hub).await;
             hub.conns.borrow_mut().remove(&conn);
             hub.tell(Event::Gone { sess: conn }).await;
             drop(permit);
-        });
+        };
+        slog::debug!(log, "a connection is taken"; "bytes" => size_of_val(&task));
+        tokio::task::spawn_local(task);
     }
 }
 
--- a/relay/src/reducer.rs
+++ b/relay/src/reducer.rs
@@ -190,6 +190,8 @@
     pub fn start(&mut self, now: Micros, out: &mut Vec<Effect>) {
         let known = List { whole: true, ..self.node.known.clone() };
         self.step(now, Event::List(known), out);
+        // Where the module counts on being told unasked, the watch that tells it is the program's own.
+        out.extend((!self.node.site.facts.must_watch).then_some(Effect::Watch { since: self.generation }));
     }
 
     pub fn step(&mut self, now: Micros, event: Event, out: &mut Vec<Effect>) {
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -1,7 +1,7 @@
 //! What relay scenarios are played against.
 //! `Program` is the reducer without sockets. Backends are named as in the list; a site line may say
-//! `known=NAME,NAME` for the list that the relay starts with. Inputs, each with `stalled` behind it where no
-//! alarm could go off before it:
+//! `known=NAME,NAME` for the list that the relay starts with, `told` where the list comes unasked. Inputs,
+//! each with `stalled` behind it where no alarm could go off before it:
 //!   `ping CONN`, `ask SESS LISTENER [wait=MS] [at=NAME]`, `gone SESS`, `up SESS DIAL`, `fell SESS DIAL HOW`,
 //!   `ended SESS HOW`, `took SESS MS`, `load SESS X`, `list full|changes VERSION NAME[:draining|:gone] ..`,
 //!   `list broken`, `probe NAME load=X [piled=X]`, `stop`, `run`. `first LINE` and `said LINE` show what a
@@ -9,7 +9,7 @@
 //! `Loopback` is the program on sockets of 127.0.0.1. A line is `WHO DEED [TEXT]`: letters are clients,
 //! digits are backends (`1` and `2`, known from the start), `list` is discovery, a star is anything. Deeds:
 //!   `>` sends a line, `>>` sends text without a line's end, `ends` closes the connection, `shuts` ends
-//!   listening, `floods` sends numbered lines till no more go, `relay stops` is SIGTERM. With the effect `so`:
+//!   listening, `floods` sends numbered lines till no more go, `relay stops` is SIGTERM. With effect `so`:
 //!   `<` takes that line, `over` takes the end, `none` sees no connection come, `waits MS` sees nothing come,
 //!   `drinks` takes all lines of the flood.
 use crate::{dial_end, millis, num, option, Fault, Subject};
@@ -61,6 +61,7 @@
 #[derive(Default)]
 pub struct Program {
     known: Vec<(String, String)>,
+    told: bool,
     reducer: Option<Reducer>,
     alarms: BTreeMap<(Micros, usize), hallrelay_relay::reducer::Alarm>,
     asked: usize,
@@ -71,14 +72,28 @@
 }
 
 impl Program {
-    fn step(&mut self, now: Micros, event: Event) -> Result<(), Fault> {
-        let mut out = Vec::new();
-        if self.reducer.is_none() {
-            let mut reducer = Reducer::new(node(&text("127.0.0.1:1", "127.0.0.1:2", &self.known))?);
-            reducer.start(now, &mut out);
-            self.reducer = Some(reducer);
+    fn begin(&mut self, now: Micros) -> Result<(), Fault> {
+        if self.reducer.is_some() {
+            return Ok(());
+        }
+        let mut text = text("127.0.0.1:1", "127.0.0.1:2", &self.known);
+        if self.told {
+            text["settings"]["Discovery"] = json!("automatic");
         }
-        self.reducer.as_mut().expect("just made").step(now, event, &mut out);
+        let (mut reducer, mut out) = (Reducer::new(node(&text)?), Vec::new());
+        reducer.start(now, &mut out);
+        self.reducer = Some(reducer);
+        self.note(now, out);
+        Ok(())
+    }
+
+    fn step(&mut self, now: Micros, event: Event) {
+        let mut out = Vec::new();
+        self.reducer.as_mut().expect("it has begun").step(now, event, &mut out);
+        self.note(now, out);
+    }
+
+    fn note(&mut self, now: Micros, mut out: Vec<Effect>) {
         for effect in &out {
             if let Effect::Alarm { after, alarm } = *effect {
                 self.asked += 1;
@@ -89,7 +104,6 @@
             }
         }
         self.effects.append(&mut out);
-        Ok(())
     }
 
     fn event(&self, words: &[&str]) -> Result<Option<Event>, Fault> {
@@ -144,6 +158,7 @@
 impl Subject for Program {
     fn site(&mut self, words: &[&str]) -> Result<(), Fault> {
         let known = option(words, "known").ok_or("a site line says known=NAME,NAME")?;
+        self.told = words.contains(&"told");
         self.known = known.split(',').map(|name| (name.to_string(), addr(name))).collect();
         Ok(())
     }
@@ -173,14 +188,15 @@
                 self.said.push(node(&text).err().unwrap_or("nothing".to_string()));
             }
             _ => {
+                self.begin(now)?;
                 let stalled = words.contains(&"stalled");
                 let due = |k: &(Micros, usize)| k.0 < now && !stalled;
                 while let Some((&key, &alarm)) = self.alarms.first_key_value().filter(|(k, _)| due(k)) {
                     self.alarms.remove(&key);
-                    self.step(key.0, Event::Alarm(alarm))?;
+                    self.step(key.0, Event::Alarm(alarm));
                 }
                 if let Some(event) = self.event(words)? {
-                    self.step(now, event)?;
+                    self.step(now, event);
                 }
             }
         }
