One way to read a connection and one place to write it; an unread limit is gone

Found by reading: waiting until a connection can be read, reading it and going on where nothing was there stood in first_line.rs, admit.rs and pass.rs; it is Buffer::fill now. pass.rs wrote in four places, twice right after reading; the two branches that wait until writing is possible do it alone. Limits.sockets was kept and never read.

Behaviour is meant to stay; scenarios are unchanged and pass.

--- a/config/src/limits.rs
+++ b/config/src/limits.rs
@@ -8,11 +8,10 @@
     pub line: usize,
     pub buffer_first: usize,
     pub buffer_most: usize,
-    /// Connections taken from clients at once, and the file descriptors that the program may hold.
+    /// Connections taken from clients at once.
     pub clients: usize,
     /// Sessions with a backend at once; each holds a second descriptor.
     pub sessions: u32,
-    pub sockets: usize,
     /// Probe connections that are kept open, one a backend.
     pub probes: usize,
     /// Bytes of one line of discovery's list.
@@ -68,7 +67,6 @@
             // More clients than sessions, so that those over the cap still get their answer.
             clients: left * 11 / 20,
             sessions: (left * 9 / 20) as u32,
-            sockets,
             probes: sockets / Self::PROBE_PART,
             // Some ten thousand entries.
             list: 2 << 20,
--- a/relay/src/buffer.rs
+++ b/relay/src/buffer.rs
@@ -63,8 +63,8 @@
         }
     }
 
-    /// Reads what is there once; 0 is the end.
-    pub fn read(&mut self, stream: &TcpStream) -> io::Result<usize> {
+    /// Reads once what is there.
+    fn read(&mut self, stream: &TcpStream) -> io::Result<usize> {
         self.make_room();
         let count = stream.try_read(&mut self.bytes[self.till..])?;
         self.till += count;
@@ -79,6 +79,17 @@
         Ok(count)
     }
 
+    /// Waits for something and reads it; 0 is the end. Given up while it waits, it has read nothing.
+    pub async fn fill(&mut self, stream: &TcpStream) -> io::Result<usize> {
+        loop {
+            stream.readable().await?;
+            match self.read(stream) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                read => return read,
+            }
+        }
+    }
+
     /// The lines that the last read made whole.
     pub fn fresh(&self) -> &[u8] {
         &self.bytes[self.fresh..self.whole]
--- a/relay/src/net/admit.rs
+++ b/relay/src/net/admit.rs
@@ -4,7 +4,6 @@
 use crate::lines;
 use crate::reducer::Event;
 use hallrelay::types::SessId;
-use std::io::ErrorKind;
 use std::ops::Range;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::Receiver;
@@ -70,15 +69,9 @@
 /// Ends when the client does. What it sends early waits in the buffer.
 async fn left(client: &TcpStream, buffer: &mut Buffer) {
     while buffer.has_room() {
-        if client.readable().await.is_err() {
+        if !matches!(buffer.fill(client).await, Ok(1..)) {
             return;
         }
-        match buffer.read(client) {
-            Ok(0) => return,
-            Ok(_) => {}
-            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
-            Err(_) => return,
-        }
     }
     std::future::pending().await
 }
--- a/relay/src/net/first_line.rs
+++ b/relay/src/net/first_line.rs
@@ -5,7 +5,6 @@
 use crate::lines::{self, First};
 use crate::reducer::Event;
 use hallrelay::types::SessId;
-use std::io::ErrorKind;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::Receiver;
 use tokio::time::timeout;
@@ -53,12 +52,8 @@
         if buffer.partial() > most + lines::END.len() {
             return None;
         }
-        stream.readable().await.ok()?;
-        match buffer.read(stream) {
-            Ok(0) => return None,
-            Ok(_) => {}
-            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
-            Err(_) => return None,
+        if buffer.fill(stream).await.ok()? == 0 {
+            return None;
         }
     }
 }
--- a/relay/src/net/pass.rs
+++ b/relay/src/net/pass.rs
@@ -157,47 +157,30 @@
                 Some(Command::Move) => return Over::Moved,
                 _ => return Over::Closed,
             },
-            ready = client.readable(), if up.has_room() => {
-                let Some(count) = came(ready, up, client) else { continue };
-                match count {
-                    Ok(0) => return Over::ClientEnded,
-                    Ok(_) if ear.client_lines(up.fresh()) && up.partial() <= most => {}
-                    // A line too long ends the session as a break does.
-                    _ => return Over::ClientBroke,
-                }
-                if goes(up, backend, first).is_err() {
-                    return gone(ear);
-                }
-            }
-            ready = backend.readable(), if down.has_room() => {
-                let Some(count) = came(ready, down, backend) else { continue };
-                match count {
-                    Ok(0) | Err(()) => return gone(ear),
-                    Ok(_) if ear.backend_lines(down.fresh()).await && down.partial() <= most => {}
-                    Ok(_) => {
-                        down.spurn_fresh();
-                        return Over::Backend(DialEnd::Reset, None);
-                    }
-                }
-                match goes(down, client, first) {
-                    Ok(0) => {}
-                    Ok(_) => held = None,
-                    Err(()) => return Over::ClientBroke,
+            count = up.fill(client), if up.has_room() => match count {
+                Ok(0) => return Over::ClientEnded,
+                Ok(_) if ear.client_lines(up.fresh()) && up.partial() <= most => {}
+                // A line too long ends the session as a break does.
+                _ => return Over::ClientBroke,
+            },
+            count = down.fill(backend), if down.has_room() => match count {
+                Ok(0) | Err(_) => return gone(ear),
+                Ok(_) if ear.backend_lines(down.fresh()).await && down.partial() <= most => {}
+                Ok(_) => {
+                    down.spurn_fresh();
+                    return Over::Backend(DialEnd::Reset, None);
                 }
-            }
+            },
             ready = backend.writable(), if to_backend => {
                 if ready.is_err() || goes(up, backend, first).is_err() {
                     return gone(ear);
                 }
             }
             ready = client.writable(), if to_client => {
-                if ready.is_err() {
-                    return Over::ClientBroke;
-                }
-                match goes(down, client, first) {
+                match ready.and_then(|()| goes(down, client, first)) {
                     Ok(0) => {}
                     Ok(_) => held = None,
-                    Err(()) => return Over::ClientBroke,
+                    Err(_) => return Over::ClientBroke,
                 }
             }
             () = sleep_until(wake_at), if wake.is_some() => {
@@ -218,29 +201,13 @@
     Over::Backend(end, report)
 }
 
-/// What a read brought; none where there was nothing yet.
-fn came(ready: std::io::Result<()>, buffer: &mut Buffer, stream: &TcpStream) -> Option<Result<usize, ()>> {
-    if ready.is_err() {
-        return Some(Err(()));
-    }
-    match buffer.read(stream) {
-        Ok(got) => Some(Ok(got)),
-        Err(e) if e.kind() == ErrorKind::WouldBlock => None,
-        Err(_) => Some(Err(())),
-    }
-}
-
 /// Writes on what it can of the whole lines.
-fn goes(buffer: &mut Buffer, stream: &TcpStream, first: usize) -> Result<usize, ()> {
-    if buffer.lines().is_empty() {
-        return Ok(0);
-    }
+fn goes(buffer: &mut Buffer, stream: &TcpStream, first: usize) -> std::io::Result<usize> {
     match buffer.write(stream) {
-        Ok(count) => {
+        Err(e) if e.kind() == ErrorKind::WouldBlock => Ok(0),
+        wrote => {
             buffer.shrink(first);
-            Ok(count)
+            wrote
         }
-        Err(e) if e.kind() == ErrorKind::WouldBlock => Ok(0),
-        Err(_) => Err(()),
     }
 }
