SIGHUP reads the configuration anew and moves the watch; it ended the program before

Checked: no handler for the signal anywhere (stop.rs knew SIGTERM and SIGINT only), and NODE_DISCOVERY overrode the file's discovery (node.rs, said()). Now the signal is an event: the file is read and checked whole, or the fault is logged and the old one kept. A new discovery is asked for the whole list (since=0); the old watch holds till the new one speaks; a new place that does not answer is asked again. What can't change while running is named in the log.

--- a/config/src/facts.rs
+++ b/config/src/facts.rs
@@ -3,7 +3,7 @@
 use hallrelay::types::{Listener, Micros, Repeat, Report, SiteFacts, Within};
 
 /// What the settings tell, beyond the module's facts, of names and of time on sockets.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Site {
     pub facts: SiteFacts,
     pub report: ReportOrder,
--- a/config/src/node.rs
+++ b/config/src/node.rs
@@ -6,7 +6,7 @@
 use serde_json::Value;
 use std::net::SocketAddr;
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Node {
     pub name: String,
     pub listen: SocketAddr,
@@ -25,6 +25,27 @@
     pub discovery: Option<String>,
 }
 
+impl Told {
+    /// What holds as the text is read anew: where discovery is, the new text alone tells.
+    pub fn again(self) -> Told {
+        Told { discovery: None, ..self }
+    }
+}
+
+impl Node {
+    /// Keys that differ in a text read later and can't change while the program runs. The list in it may be
+    /// old, and the seed is that of the start.
+    pub fn fixed(&self, later: &Node) -> Vec<&'static str> {
+        let keys = [
+            ("name", self.name != later.name),
+            ("listen", self.listen != later.listen),
+            ("limits", self.limits != later.limits),
+            ("settings", self.site != later.site),
+        ];
+        keys.into_iter().filter(|key| key.1).map(|key| key.0).collect()
+    }
+}
+
 /// What holds where the text names no limit: that of a small machine.
 const SOCKETS: usize = 1024;
 
--- a/relay/src/main.rs
+++ b/relay/src/main.rs
@@ -50,11 +50,14 @@
 }
 
 impl Given {
-    fn read(self) -> Result<Node, String> {
+    fn told(&self) -> Told {
+        Told { name: self.name.clone(), listen: self.listen.clone(), discovery: self.discovery.clone() }
+    }
+
+    fn read(&self, told: &Told) -> Result<Node, String> {
         let named = |what: String| format!("{}: {what}", self.config.display());
         let text = std::fs::read(&self.config).map_err(|e| named(e.to_string()))?;
-        let told = Told { name: self.name, listen: self.listen, discovery: self.discovery };
-        node::parse(&text, &told).map_err(named)
+        node::parse(&text, told).map_err(named)
     }
 }
 
@@ -72,7 +75,7 @@
     match what {
         What::Version => println!("hallrelay {}", env!("CARGO_PKG_VERSION")),
         What::Check { given } => {
-            let node = given.read()?;
+            let node = given.read(&given.told())?;
             let (site, known) = (&node.site, &node.known);
             println!("{} on {}, discovery at {}", node.name, node.listen, node.discovery);
             println!("listeners {:?}, zones {:?}", site.listeners, site.zones);
@@ -80,7 +83,7 @@
             println!("{:#?}", node.limits);
         }
         What::Serve { given, verbose } => {
-            let node = given.read()?;
+            let node = given.read(&given.told())?;
             let level = match verbose {
                 0 => slog::Level::Info,
                 1 => slog::Level::Debug,
@@ -96,7 +99,9 @@
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let runtime = runtime.map_err(|e| format!("the runtime does not start: {e}"))?;
             let local = tokio::task::LocalSet::new();
-            let served = local.block_on(&runtime, serve::run(node, log));
+            let again = given.told().again();
+            let reread = move || given.read(&again);
+            let served = local.block_on(&runtime, serve::run(node, reread, log));
             served.map_err(|e| format!("cannot serve: {e}"))?;
         }
     }
--- a/relay/src/net/discovery.rs
+++ b/relay/src/net/discovery.rs
@@ -13,10 +13,10 @@
 use tokio::time::timeout;
 
 /// Watches until the watch breaks, and tells of that.
-pub async fn run(addr: SocketAddr, since: u64, hub: Hub) {
-    let why = watch(addr, since, &hub).await;
-    slog::info!(hub.log, "the watch of the list is over"; "why" => why);
-    hub.tell(Event::ListBroken).await;
+pub async fn run(id: u32, addr: SocketAddr, since: u64, hub: Hub) {
+    let why = watch(id, addr, since, &hub).await;
+    slog::info!(hub.log, "the watch of the list is over"; "at" => %addr, "why" => why);
+    hub.tell(Event::ListBroken { watch: id }).await;
 }
 
 async fn call(addr: SocketAddr, since: u64) -> Result<Incoming, String> {
@@ -34,7 +34,7 @@
 }
 
 /// Returns why the watch is over.
-async fn watch(addr: SocketAddr, since: u64, hub: &Hub) -> String {
+async fn watch(id: u32, addr: SocketAddr, since: u64, hub: &Hub) -> String {
     let limits = &hub.limits;
     let mut body = match timeout(span(limits.discovery_first), call(addr, since)).await {
         Ok(Ok(body)) => body,
@@ -60,7 +60,7 @@
             }
             if !line.trim_ascii().is_empty() {
                 match list::parse(line.trim_ascii()) {
-                    Ok(list) => hub.tell(Event::List(list)).await,
+                    Ok(list) => hub.tell(Event::List { watch: id, list }).await,
                     Err(why) => return why,
                 }
             }
--- a/relay/src/net/serve.rs
+++ b/relay/src/net/serve.rs
@@ -17,17 +17,21 @@
 /// What carries the effects out, and the little that this takes: timers, probe tasks, the watch.
 struct Hands {
     hub: Hub,
-    discovery: SocketAddr,
     /// By time, and in order of asking.
     alarms: BTreeMap<(Micros, u64), Alarm>,
     asked: u64,
     probes: BTreeMap<ServerId, mpsc::Sender<SocketAddr>>,
-    watch: Option<AbortHandle>,
+    watches: BTreeMap<u32, AbortHandle>,
     exit: bool,
 }
 
 /// Serves until it is told to stop and is empty.
-pub async fn run(node: Node, log: slog::Logger) -> std::io::Result<()> {
+pub async fn run(
+    node: Node,
+    reread: impl Fn() -> Result<Node, String> + 'static,
+    log: slog::Logger,
+) -> std::io::Result<()> {
+    let signals = stop::Signals::caught()?;
     let limits = node.limits;
     let (events, mut arrived) = mpsc::channel(limits.events);
     let clock = Clock::anchored();
@@ -50,18 +54,17 @@
 
     let mut hands = Hands {
         hub: hub.clone(),
-        discovery: node.discovery,
         alarms: BTreeMap::new(),
         asked: 0,
         probes: BTreeMap::new(),
-        watch: None,
+        watches: BTreeMap::new(),
         exit: false,
     };
     let (mut reducer, mut effects) = (Reducer::new(node), Vec::new());
     reducer.start(clock.now(), &mut effects);
     hands.carry_out(&mut effects);
     tokio::task::spawn_local(accept::run(listener, hub.clone()));
-    tokio::task::spawn_local(stop::run(hub));
+    tokio::task::spawn_local(stop::run(signals, reread, hub));
     while !hands.exit {
         let next = hands.alarms.first_key_value().map_or(Micros::MAX / 2, |((at, _), _)| *at);
         let event = tokio::select! {
@@ -107,12 +110,15 @@
                 Effect::Close { sess } => self.hub.command(sess, Command::Close),
                 Effect::Probe { server, addr } => self.probe(server, addr),
                 Effect::Forget { server } => _ = self.probes.remove(&server),
-                Effect::Watch { since } => {
-                    let task = discovery::run(self.discovery, since, self.hub.clone());
-                    let task = tokio::task::spawn_local(task).abort_handle();
-                    if let Some(before) = self.watch.replace(task) {
-                        before.abort();
-                    }
+                Effect::Watch { watch, addr, since } => {
+                    let task = discovery::run(watch, addr, since, self.hub.clone());
+                    self.watches.insert(watch, tokio::task::spawn_local(task).abort_handle());
+                }
+                Effect::Unwatch { watch } => {
+                    self.watches.remove(&watch).inspect(AbortHandle::abort);
+                }
+                Effect::Kept { key } => {
+                    slog::warn!(self.hub.log, "a change that only a new start brings"; "key" => key);
                 }
                 Effect::Alarm { after, alarm } => {
                     self.asked += 1;
--- a/relay/src/reducer.rs
+++ b/relay/src/reducer.rs
@@ -57,8 +57,15 @@
         end: DialEnd,
         report: Option<Report>,
     },
-    List(List),
-    ListBroken,
+    List {
+        watch: u32,
+        list: List,
+    },
+    ListBroken {
+        watch: u32,
+    },
+    /// The configuration as it stands now, whole and checked.
+    Reload(Box<Node>),
     Alarm(Alarm),
     Stop,
 }
@@ -111,9 +118,19 @@
     Forget {
         server: ServerId,
     },
+    /// Watches the list from a version on; from 0 on, the whole of it.
     Watch {
+        watch: u32,
+        addr: SocketAddr,
         since: u64,
     },
+    Unwatch {
+        watch: u32,
+    },
+    /// A key of a new configuration that can't change while the program runs.
+    Kept {
+        key: &'static str,
+    },
     Alarm {
         after: Micros,
         alarm: Alarm,
@@ -156,6 +173,17 @@
     over: bool,
 }
 
+/// The watch on the list that was asked for last, and those before it that may still tell something.
+#[derive(Default)]
+struct Watch {
+    last: u32,
+    /// Whether it is out, and has told anything.
+    out: bool,
+    spoke: bool,
+    /// The one that was out or spoke before a new one was asked for, kept until the new one speaks.
+    before: Option<u32>,
+}
+
 pub struct Reducer {
     node: Node,
     module: Relay,
@@ -164,6 +192,7 @@
     servers: BTreeMap<ServerId, Server>,
     ids: BTreeMap<String, ServerId>,
     generation: u64,
+    watch: Watch,
     /// Connections that wait for a `PONG`.
     pings: Vec<SessId>,
     stopping: Option<Micros>,
@@ -180,6 +209,7 @@
             servers: BTreeMap::new(),
             ids: BTreeMap::new(),
             generation: 0,
+            watch: Watch::default(),
             pings: Vec::new(),
             stopping: None,
             asks: Vec::new(),
@@ -189,9 +219,12 @@
     /// Begins with the list as this relay last had it.
     pub fn start(&mut self, now: Micros, out: &mut Vec<Effect>) {
         let known = List { whole: true, ..self.node.known.clone() };
-        self.step(now, Event::List(known), out);
+        (self.now, self.generation) = (now, known.generation);
+        self.list(known, out);
         // Where the module counts on being told unasked, the watch that tells it is the program's own.
-        out.extend((!self.node.site.facts.must_watch).then_some(Effect::Watch { since: self.generation }));
+        if !self.node.site.facts.must_watch {
+            self.ask_list(out);
+        }
     }
 
     pub fn step(&mut self, now: Micros, event: Event, out: &mut Vec<Effect>) {
@@ -223,10 +256,9 @@
                 self.servers.entry(server).and_modify(|v| v.probing = false);
                 self.tell(Input::Probed { server, end, report }, out);
             }
-            Event::List(list) => self.list(list, out),
-            Event::ListBroken => {
-                self.tell(Input::List { kind: ListKind::Broken, entries: Vec::new() }, out);
-            }
+            Event::List { watch, list } => self.heard(watch, list, out),
+            Event::ListBroken { watch } => self.list_broken(watch, out),
+            Event::Reload(node) => self.reload(*node, out),
             Event::Alarm(alarm) => self.alarm(alarm, out),
             Event::Stop => {
                 if self.stopping.replace(now).is_none() {
@@ -272,7 +304,7 @@
             module::Effect::Alarm { after, label } => {
                 out.push(Effect::Alarm { after, alarm: Alarm::Module(label) });
             }
-            module::Effect::Watch => out.push(Effect::Watch { since: self.generation }),
+            module::Effect::Watch => self.ask_list(out),
         }
     }
 
@@ -430,8 +462,56 @@
         out.push(Effect::Move { sess });
     }
 
+    fn ask_list(&mut self, out: &mut Vec<Effect>) {
+        if !self.watch.out {
+            let watch = self.watch.last + 1;
+            self.watch = Watch { last: watch, out: true, spoke: false, before: self.watch.before };
+            out.push(Effect::Watch { watch, addr: self.node.discovery, since: self.generation });
+        }
+    }
+
+    /// A watch tells something. Until one that was asked for later does so, what an earlier one tells holds.
+    fn heard(&mut self, watch: u32, list: List, out: &mut Vec<Effect>) {
+        let w = &mut self.watch;
+        if watch == w.last {
+            self.generation = list.generation;
+            if !std::mem::replace(&mut w.spoke, true) {
+                out.extend(w.before.replace(watch).map(|watch| Effect::Unwatch { watch }));
+            }
+        } else if w.before != Some(watch) {
+            return;
+        }
+        self.list(list, out);
+    }
+
+    fn list_broken(&mut self, watch: u32, out: &mut Vec<Effect>) {
+        out.push(Effect::Unwatch { watch });
+        self.watch.before = self.watch.before.filter(|before| *before != watch);
+        if watch == self.watch.last && std::mem::take(&mut self.watch.out) {
+            self.tell(Input::List { kind: ListKind::Broken, entries: Vec::new() }, out);
+        }
+    }
+
+    /// Guards a relay whose discovery moves: the new place is asked for the whole list at once, since versions
+    /// of the old one may mean nothing there, and the old watch goes on telling till the new one speaks.
+    fn reload(&mut self, node: Node, out: &mut Vec<Effect>) {
+        out.extend(self.node.fixed(&node).into_iter().map(|key| Effect::Kept { key }));
+        if node.discovery == self.node.discovery {
+            return;
+        }
+        self.node.discovery = node.discovery;
+        let w = &mut self.watch;
+        if std::mem::take(&mut w.out) {
+            match w.before {
+                Some(before) if before != w.last => out.push(Effect::Unwatch { watch: w.last }),
+                _ => w.before = Some(w.last),
+            }
+        }
+        self.generation = 0;
+        self.ask_list(out);
+    }
+
     fn list(&mut self, list: List, out: &mut Vec<Effect>) {
-        self.generation = list.generation;
         if list.whole {
             self.servers.values_mut().for_each(|v| v.phase = Phase::Gone);
         }
--- a/src/types.rs
+++ b/src/types.rs
@@ -25,7 +25,7 @@
     Cell,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Listener {
     pub utility: f64,
     pub repeat: Repeat,
@@ -34,7 +34,7 @@
 }
 
 /// What the site tells an instance at its start.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct SiteFacts {
     pub listeners: Vec<Listener>,
     pub relays: u32,
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -4,12 +4,14 @@
 //! each with `stalled` behind it where no alarm could go off before it:
 //!   `ping CONN`, `ask SESS LISTENER [wait=MS] [at=NAME]`, `gone SESS`, `up SESS DIAL`, `fell SESS DIAL HOW`,
 //!   `ended SESS HOW`, `took SESS MS`, `load SESS X`, `list full|changes VERSION NAME[:draining|:gone] ..`,
-//!   `list broken`, `probe NAME load=X [piled=X]`, `stop`, `run`. `first LINE` and `said LINE` show what a
+//!   `list broken` (of the newest watch, or of=WATCH), `reload PORT [KEY=VALUE]`, `probe NAME load=X [piled=X]`, `stop`, `run`. `first LINE` and `said LINE` show what a
 //!   parser makes of a line, `node KEY..` what is said where that key of the configuration is missing.
 //! `Loopback` is the program on sockets of 127.0.0.1. A line is `WHO DEED [TEXT]`: letters are clients,
-//! digits are backends (`1` and `2`, known from the start), `list` is discovery, a star is anything. Deeds:
+//! digits are backends (`1` and `2`, known from the start), `list` is discovery and `moved` where it may move to,
+//! a star is anything. Deeds:
 //!   `>` sends a line, `>>` sends text without a line's end, `ends` closes the connection, `shuts` ends
-//!   listening, `floods` sends numbered lines till no more go, `relay stops` is SIGTERM. With effect `so`:
+//!   listening, `floods` sends numbered lines till no more go, `relay stops` is SIGTERM, `relay reloads` SIGHUP
+//!   with discovery moved, or with a `faulty` text. With effect `so`:
 //!   `<` takes that line, `over` takes the end, `none` sees no connection come, `waits MS` sees nothing come,
 //!   `drinks` takes all lines of the flood.
 use crate::{dial_end, millis, num, option, Fault, Subject};
@@ -22,6 +24,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 fn text(listen: &str, discovery: &str, backends: &[(String, String)]) -> Value {
@@ -62,6 +65,8 @@
 pub struct Program {
     known: Vec<(String, String)>,
     told: bool,
+    /// The newest watch.
+    watch: u32,
     reducer: Option<Reducer>,
     alarms: BTreeMap<(Micros, usize), hallrelay_relay::reducer::Alarm>,
     asked: usize,
@@ -72,15 +77,19 @@
 }
 
 impl Program {
+    fn text(&self, discovery: &str) -> Value {
+        let mut text = text("127.0.0.1:1", discovery, &self.known);
+        if self.told {
+            text["settings"]["Discovery"] = json!("automatic");
+        }
+        text
+    }
+
     fn begin(&mut self, now: Micros) -> Result<(), Fault> {
         if self.reducer.is_some() {
             return Ok(());
         }
-        let mut text = text("127.0.0.1:1", "127.0.0.1:2", &self.known);
-        if self.told {
-            text["settings"]["Discovery"] = json!("automatic");
-        }
-        let (mut reducer, mut out) = (Reducer::new(node(&text)?), Vec::new());
+        let (mut reducer, mut out) = (Reducer::new(node(&self.text("127.0.0.1:2"))?), Vec::new());
         reducer.start(now, &mut out);
         self.reducer = Some(reducer);
         self.note(now, out);
@@ -99,6 +108,9 @@
                 self.asked += 1;
                 self.alarms.insert((now + after, self.asked), alarm);
             }
+            if let Effect::Watch { watch, .. } = *effect {
+                self.watch = watch;
+            }
             if let Effect::Probe { server, addr } = effect {
                 self.probed.insert(format!("s-{}", addr.port() - 1000), *server);
             }
@@ -109,6 +121,7 @@
     fn event(&self, words: &[&str]) -> Result<Option<Event>, Fault> {
         let at = |i: usize| words.get(i).copied().ok_or(format!("'{}' is too short", words.join(" ")));
         let sess = || num(at(1)?);
+        let watch = option(words, "of").map_or(Ok(self.watch), num)?;
         Ok(Some(match at(0)? {
             "run" => return Ok(None),
             "stop" => Event::Stop,
@@ -135,9 +148,10 @@
                 let server = *self.probed.get(at(1)?).ok_or("no probe is out there")?;
                 Event::Probed { server, end: hallrelay::types::DialEnd::Ok, report }
             }
-            "list" if at(1)? == "broken" => Event::ListBroken,
+            "list" if at(1)? == "broken" => Event::ListBroken { watch },
             "list" => {
-                let instances = words[3..].iter().map(|word| {
+                let names = words[3..].iter().filter(|word| !word.contains('='));
+                let instances = names.map(|word| {
                     let (id, mark) = word.split_once(':').unwrap_or((word, ""));
                     let phase = match mark {
                         "" => "up",
@@ -148,7 +162,14 @@
                 });
                 let list = json!({"generation": num::<u64>(at(2)?)?, "reset": at(1)? == "full",
                     "instances": instances.collect::<Vec<_>>()});
-                Event::List(hallrelay_config::list::parse(list.to_string().as_bytes())?)
+                Event::List { watch, list: hallrelay_config::list::parse(list.to_string().as_bytes())? }
+            }
+            "reload" => {
+                let mut text = self.text(&format!("127.0.0.1:{}", at(1)?));
+                if let Some((key, value)) = words.get(2).and_then(|word| word.split_once('=')) {
+                    text[key] = json!(value);
+                }
+                Event::Reload(Box::new(node(&text)?))
             }
             other => return Err(format!("unknown input '{other}'")),
         }))
@@ -216,7 +237,10 @@
             Effect::Close { sess } => format!("close {sess}"),
             Effect::Probe { addr, .. } => format!("probe s-{}", addr.port() - 1000),
             Effect::Forget { .. } => "forget".to_string(),
-            Effect::Watch { since } => format!("watch since {since}"),
+            Effect::Watch { addr, since, .. } if addr.port() == 2 => format!("watch since {since}"),
+            Effect::Watch { addr, since, .. } => format!("watch since {since} at {}", addr.port()),
+            Effect::Unwatch { watch } => format!("unwatch {watch}"),
+            Effect::Kept { key } => format!("kept {key}"),
             Effect::Alarm { .. } => "alarm".to_string(),
             Effect::Exit => "exit".to_string(),
         });
@@ -235,12 +259,15 @@
     peers: BTreeMap<String, BufReader<TcpStream>>,
     got: Vec<String>,
     flood: String,
+    /// The configuration's text as the relay finds it when told to read it anew.
+    text: Arc<Mutex<Value>>,
 }
 
 impl Loopback {
     fn start(&mut self) -> Result<(), Fault> {
         let bind = || TcpListener::bind("127.0.0.1:0").map_err(|e| e.to_string());
         let (place, discovery) = (bind()?.local_addr().map_err(|e| e.to_string())?, bind()?);
+        self.listeners.insert("moved".to_string(), bind()?);
         let mut known = Vec::new();
         for name in ["1", "2"] {
             let listener = bind()?;
@@ -249,12 +276,16 @@
         }
         let found = discovery.local_addr().map_err(|e| e.to_string())?.to_string();
         self.listeners.insert("list".to_string(), discovery);
-        let node = node(&text(&place.to_string(), &found, &known))?;
+        let text = text(&place.to_string(), &found, &known);
+        let node = node(&text)?;
+        *self.text.lock().map_err(|e| e.to_string())? = text;
+        let text = self.text.clone();
+        let reread = move || self::node(&*text.lock().map_err(|e| e.to_string())?);
         // It ends with the test's process.
         std::thread::spawn(move || {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let log = slog::Logger::root(slog::Discard, slog::o!());
-            let served = hallrelay_relay::net::serve::run(node, log);
+            let served = hallrelay_relay::net::serve::run(node, reread, log);
             tokio::task::LocalSet::new().block_on(&runtime.expect("a runtime"), served).expect("it serves");
         });
         self.relay = Some(place);
@@ -287,6 +318,11 @@
     }
 }
 
+fn signal(name: &str) -> std::io::Result<()> {
+    let kill = format!("kill -{name} {}", std::process::id());
+    std::process::Command::new("sh").args(["-c", &kill]).status().map(|_| ())
+}
+
 fn accepted(listener: &TcpListener, within: Duration) -> Option<TcpStream> {
     listener.set_nonblocking(true).ok()?;
     let started = std::time::Instant::now();
@@ -383,8 +419,13 @@
             }
             "stops" => {
                 // Every relay of this process is told; those of earlier scenarios are done with.
-                let kill = format!("kill -TERM {}", std::process::id());
-                std::process::Command::new("sh").args(["-c", &kill]).status().map_err(told)?;
+                signal("TERM").map_err(told)?;
+            }
+            "reloads" => {
+                let moved = self.listeners["moved"].local_addr().map_err(told)?.to_string();
+                let discovery = if rest == "faulty" { rest } else { moved };
+                self.text.lock().map_err(|e| e.to_string())?["discovery"] = json!(discovery);
+                signal("HUP").map_err(told)?;
             }
             "shuts" => _ = self.listeners.remove(*who),
             other => return Err(format!("unknown deed '{other}'")),
