Odd and silent clients get ERR in time, extra lines are never served, crowds are shed

A debug log showed 570 of 1,679 connections a relay that ask PING and stay, and as many that say nothing, each holding one of 277 places for 3 s and more, so clients waited in the listen queue: 50% of new sessions lost in a window, 2.5 s to the first dial at the 99th percentile; 70 lines of bad clients came to backends. Faults: first_line.rs took a new 3 s with each PING and dropped odd lines unsaid (unread bytes make that a reset), accept.rs waited for a place, admit.rs kept what came before UP, lines.rs dropped the id, wait_ms * 1000 could wrap.

Now: 2 s in all from the connection to the first line, then ERR, the sending ended and at most 0.5 s of discarding; more than one line before UP, an open mark, an unknown listener and a time ten times the longest dial timeout get ERR at once; the reducer knows each connection and sheds the oldest that is no session.

--- a/config/src/limits.rs
+++ b/config/src/limits.rs
@@ -8,8 +8,9 @@
     pub line: usize,
     pub buffer_first: usize,
     pub buffer_most: usize,
-    /// Connections taken from clients at once.
+    /// Connections taken from clients at once, and how many of them may be on their way out beyond that.
     pub clients: usize,
+    pub shedding: usize,
     /// Sessions with a backend at once; each holds a second descriptor.
     pub sessions: u32,
     /// Probe connections that are kept open, one a backend.
@@ -24,7 +25,10 @@
     /// Log lines that wait to be written; more are dropped and counted.
     pub log_lines: usize,
     pub connect: Micros,
+    /// From a connection's start to its session's first line.
     pub first_line: Micros,
+    /// A client that would wait longer than this speaks another protocol.
+    pub wait: Micros,
     /// An answer leaves this long before the client's time is up.
     pub answer_margin: Micros,
     pub probe: Micros,
@@ -66,6 +70,7 @@
             buffer_most: 8192,
             // More clients than sessions, so that those over the cap still get their answer.
             clients: left * 11 / 20,
+            shedding: 8,
             sessions: (left * 9 / 20) as u32,
             probes: sockets / Self::PROBE_PART,
             // Some ten thousand entries.
@@ -76,7 +81,10 @@
             log_lines: 1024,
             // The line must be out before a drain's grace has passed, counted from the decision to dial.
             connect: site.connect.min(site.drain_grace * 4 / 5),
-            first_line: longest.max(1000 * MS),
+            // Who says nothing is owed an end within 3 s of connecting; `end` is still to come.
+            first_line: 2_000 * MS,
+            // Far beyond what any listener gives.
+            wait: longest * 10,
             // Clients take answers a little late as well, but the wake-up of a busy core takes some of it.
             answer_margin: 10 * MS,
             // A probe is a small message: twice what a connect may take.
@@ -86,7 +94,7 @@
             // the 7 s within which clients must be told. 4.5 s kept less where servers drop sessions unsaid.
             silence: 2_000 * MS,
             stuck: 30_000 * MS,
-            end: 1000 * MS,
+            end: 500 * MS,
             discovery_first: (ask / 2).min(4_000 * MS),
             // An idle watch brings an empty line every 2 s.
             discovery_silence: (ask / 2).min(5_000 * MS),
--- a/relay/src/buffer.rs
+++ b/relay/src/buffer.rs
@@ -64,7 +64,7 @@
     }
 
     /// Reads once what is there.
-    fn read(&mut self, stream: &TcpStream) -> io::Result<usize> {
+    pub fn read(&mut self, stream: &TcpStream) -> io::Result<usize> {
         self.make_room();
         let count = stream.try_read(&mut self.bytes[self.till..])?;
         self.till += count;
@@ -79,6 +79,11 @@
         Ok(count)
     }
 
+    /// Whether bytes stand behind what was taken, or lie on the stream.
+    pub fn holds_more(&mut self, stream: &TcpStream) -> bool {
+        self.till > self.from || matches!(self.read(stream), Ok(1..))
+    }
+
     /// Waits for something and reads it; 0 is the end. Given up while it waits, it has read nothing.
     pub async fn fill(&mut self, stream: &TcpStream) -> io::Result<usize> {
         loop {
--- a/relay/src/lines.rs
+++ b/relay/src/lines.rs
@@ -11,6 +11,7 @@
 pub const MOVE: &[u8] = b"MOVE\r\n";
 pub const PONG: &[u8] = b"PONG\r\n";
 pub const FAIL: &[u8] = b"FAIL\r\n";
+pub const ERROR: &[u8] = b"ERR\r\n";
 pub const STATS: &[u8] = b"STATS\r\n";
 
 /// The whole lines among some bytes, without their ends.
@@ -33,6 +34,8 @@
 
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Open {
+    /// This connection's own mark.
+    pub id: u64,
     pub listener: String,
     pub key: u64,
     pub group: u64,
@@ -68,9 +71,9 @@
     if text == "PING" {
         return Some(First::Ping);
     }
-    let head = ("OPEN ", hex16, ' ', hex16, ' ').map(|(_, _, _, key, _)| key);
-    let (key, pairs) = (head, pairs).parse(text).ok()?;
-    let mut open = Open { key, ..Open::default() };
+    let head = ("OPEN ", hex16, ' ', hex16, ' ').map(|(_, id, _, key, _)| (id, key));
+    let ((id, key), pairs) = (head, pairs).parse(text).ok()?;
+    let mut open = Open { id, key, ..Open::default() };
     let (mut names, mut wait) = (Vec::with_capacity(pairs.len()), None);
     for (name, value) in pairs {
         if names.contains(&name) {
--- a/relay/src/net/accept.rs
+++ b/relay/src/net/accept.rs
@@ -1,4 +1,4 @@
-//! Takes connections from clients, as many as there are descriptors for.
+//! Takes connections from clients. The reducer sheds some where there are more than places.
 use super::{end, first_line, Hub};
 use crate::clock::span;
 use crate::reducer::Event;
@@ -9,7 +9,8 @@
 pub async fn run(listener: TcpListener, hub: Hub) {
     // Long enough not to spin while descriptors are short, short against every dial timeout.
     const REST: u64 = 20_000;
-    let room = Arc::new(Semaphore::new(hub.limits.clients));
+    // Those over the limit wait no longer than it takes to shed the ones before them.
+    let room = Arc::new(Semaphore::new(hub.limits.clients + hub.limits.shedding));
     loop {
         let Ok(permit) = room.clone().acquire_owned().await else { return };
         let stream = match listener.accept().await {
@@ -32,6 +33,8 @@
         };
         slog::debug!(log, "a connection is taken"; "bytes" => size_of_val(&task));
         tokio::task::spawn_local(task);
+        // Guards a line that comes with its connection: it is read before the next crowd is let in.
+        tokio::task::yield_now().await;
     }
 }
 
--- a/relay/src/net/admit.rs
+++ b/relay/src/net/admit.rs
@@ -25,18 +25,19 @@
     loop {
         let command = tokio::select! {
             command = commands.recv() => command,
-            () = left(&client, &mut buffer) => return,
+            more = stirs(&client, &mut buffer) => return stirred(more, conn, client, commands, hub).await,
         };
         match command {
             Some(Command::Dial { dial, addr, wait }) => {
                 let line = lines::onward(&asked.line, &asked.wait_at, wait / 1000);
                 let ended = tokio::select! {
                     ended = dial::run(addr, &line, wait, hub) => ended,
-                    () = left(&client, &mut buffer) => return,
+                    // Leaving this drops the dial, which gives it up.
+                    more = stirs(&client, &mut buffer) => return stirred(more, conn, client, commands, hub).await,
                     // While a dial is out only an end can be asked for: closing gives the dial up.
                     command = commands.recv() => {
                         if let Some(Command::Answer(line)) = command {
-                            end::answer(client, &line, hub).await;
+                            end::answer(client, &line, &mut commands, hub).await;
                         }
                         return;
                     }
@@ -53,25 +54,39 @@
                     dial::Ended::Over(line) => {
                         let (end, report) = (hallrelay::types::DialEnd::Ok, line.1);
                         hub.tell(Event::DialEnded { sess: conn, dial, end, report }).await;
-                        return end::answer(client, &line.0, hub).await;
+                        return end::answer(client, &line.0, &mut commands, hub).await;
                     }
                     dial::Ended::Not(end, report) => {
                         hub.tell(Event::DialEnded { sess: conn, dial, end, report }).await;
                     }
                 }
             }
-            Some(Command::Answer(line)) => return end::answer(client, &line, hub).await,
+            Some(Command::Answer(line)) => return end::answer(client, &line, &mut commands, hub).await,
             _ => return,
         }
     }
 }
 
-/// Ends when the client does. What it sends early waits in the buffer.
-async fn left(client: &TcpStream, buffer: &mut Buffer) {
-    while buffer.has_room() {
-        if !matches!(buffer.fill(client).await, Ok(1..)) {
-            return;
+/// Ends when the client does, or sends more, which is true: it is to wait for its answer.
+async fn stirs(client: &TcpStream, buffer: &mut Buffer) -> bool {
+    matches!(buffer.fill(client).await, Ok(1..))
+}
+
+async fn stirred(more: bool, conn: SessId, client: TcpStream, commands: Receiver<Command>, hub: &Hub) {
+    if more {
+        spurned(conn, client, commands, hub).await;
+    }
+}
+
+/// Tells of a connection that is not of the protocol, and carries its last line out.
+pub async fn spurned(conn: SessId, client: TcpStream, mut commands: Receiver<Command>, hub: &Hub) {
+    hub.tell(Event::Odd { conn }).await;
+    while let Some(command) = commands.recv().await {
+        match command {
+            Command::Answer(line) => return end::answer(client, &line, &mut commands, hub).await,
+            // What was on its way before is moot.
+            Command::Dial { .. } | Command::Pong | Command::Shed => {}
+            Command::Pass | Command::Move | Command::Close => return,
         }
     }
-    std::future::pending().await
 }
--- a/relay/src/net/dial.rs
+++ b/relay/src/net/dial.rs
@@ -39,7 +39,7 @@
     let Ok(answer) = timeout_at(over, answer).await else {
         return Ended::Not(DialEnd::Timeout, None);
     };
-    let Some(mut up) = answer else { return Ended::Not(DialEnd::Reset, None) };
+    let Ok(mut up) = answer else { return Ended::Not(DialEnd::Reset, None) };
     match lines::said(&up, hub.order) {
         Said::Up => {
             up.extend_from_slice(lines::END);
--- a/relay/src/net/end.rs
+++ b/relay/src/net/end.rs
@@ -1,5 +1,5 @@
 //! How connections end: a last line, then an end in the way the other side ended.
-use super::Hub;
+use super::{Command, Hub};
 use crate::clock::span;
 use hallrelay::types::Micros;
 use socket2::SockRef;
@@ -7,15 +7,25 @@
 use std::os::fd::AsRawFd;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::mpsc::Receiver;
 use tokio::time::timeout;
 
 /// Writes a final answer and ends.
-pub async fn answer(client: TcpStream, line: &[u8], hub: &Hub) {
+pub async fn answer(client: TcpStream, line: &[u8], commands: &mut Receiver<Command>, hub: &Hub) {
     if write(&client, line, hub.limits.end).await {
-        orderly(client, hub.limits.end).await;
+        tokio::select! {
+            () = orderly(client, hub) => {}
+            // Its place is wanted: the answer is out, and all that is lost is a polite end.
+            _ = commands.recv() => {}
+        }
     }
 }
 
+/// Says a last line as far as it goes at once, and ends.
+pub fn at_once(client: TcpStream, line: &[u8]) {
+    _ = client.try_write(line);
+}
+
 /// Writes a line whole within a time; false where it could not.
 pub async fn write(stream: &TcpStream, mut line: &[u8], within: Micros) -> bool {
     let all = async {
@@ -34,24 +44,20 @@
 
 /// Ends the sending, and reads what still comes until the other side ends too: closing with bytes unread
 /// would reset the connection, and the last line could be lost with it.
-pub async fn orderly(stream: TcpStream, within: Micros) {
+pub async fn orderly(stream: TcpStream, hub: &Hub) {
     if SockRef::from(&stream).shutdown(Shutdown::Write).is_err() {
         return;
     }
     let drain = async {
-        let mut waste = [0u8; 256];
-        loop {
-            if stream.readable().await.is_err() {
-                return;
-            }
-            match stream.try_read(&mut waste) {
+        while stream.readable().await.is_ok() {
+            match stream.try_read(&mut hub.waste.borrow_mut()) {
                 Ok(0) => return,
                 Err(e) if e.kind() != std::io::ErrorKind::WouldBlock => return,
                 _ => {}
             }
         }
     };
-    _ = timeout(span(within), drain).await;
+    _ = timeout(span(hub.limits.end), drain).await;
 }
 
 /// Ends a connection by a reset.
--- a/relay/src/net/first_line.rs
+++ b/relay/src/net/first_line.rs
@@ -1,4 +1,5 @@
-//! Reads a connection's first line. What is not of the protocol's form ends that connection alone.
+//! Reads a connection's first line, for a bounded time from its start. What is not of the protocol's form gets an
+//! error, and ends that connection alone.
 use super::{accept, admit, end, Command, Hub};
 use crate::buffer::Buffer;
 use crate::clock::span;
@@ -7,53 +8,91 @@
 use hallrelay::types::SessId;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::Receiver;
-use tokio::time::timeout;
+use tokio::time::{sleep_until, Instant};
+
+/// What the connection brought next.
+enum Next {
+    Line(Vec<u8>),
+    /// The end, before a line was whole.
+    Ended,
+    /// Too long a line, or none in time.
+    Odd,
+    Told(Option<Command>),
+}
 
 pub async fn run(conn: SessId, client: TcpStream, mut commands: Receiver<Command>, hub: &Hub) {
     let limits = &hub.limits;
+    // One time for all that comes before the session: what says something now and then would stay for ever.
+    let over = Instant::now() + span(limits.first_line);
     let mut buffer = Buffer::new(limits.buffer_first, limits.buffer_most);
+    hub.tell(Event::Came { conn }).await;
     loop {
-        let Ok(Some(line)) = timeout(span(limits.first_line), line(&client, &mut buffer, limits.line)).await
-        else {
-            return;
+        let next = tokio::select! {
+            line = line(&client, &mut buffer, limits.line) => match line {
+                Ok(line) => Next::Line(line),
+                Err(Unfit::Ended) => Next::Ended,
+                Err(Unfit::Long) => Next::Odd,
+            },
+            command = commands.recv() => Next::Told(command),
+            () = sleep_until(over) => Next::Odd,
+        };
+        let line = match next {
+            Next::Line(line) => line,
+            Next::Ended => return,
+            Next::Odd => return admit::spurned(conn, client, commands, hub).await,
+            Next::Told(Some(Command::Shed)) => {
+                // Its line may lie there unread: then it is a session like others.
+                _ = buffer.read(&client);
+                match buffer.take_line() {
+                    Some(line) => line,
+                    None => return end::at_once(client, &lines::busy(0)),
+                }
+            }
+            Next::Told(Some(Command::Pong)) => {
+                if !end::write(&client, lines::PONG, limits.end).await {
+                    return;
+                }
+                continue;
+            }
+            Next::Told(_) => return,
         };
         match lines::first(&line) {
-            Some(First::Open(open)) => {
-                let age = accept::age_of_last(&client).min(open.wait_ms * 1000);
-                let left = (open.wait_ms * 1000).saturating_sub(age + limits.answer_margin);
+            // Who sends more before it is answered speaks another protocol; what follows has no meaning here.
+            Some(First::Open(open)) if !buffer.holds_more(&client) => {
+                let wait = open.wait_ms.saturating_mul(1000);
+                let age = accept::age_of_last(&client).min(wait);
+                let left = wait.saturating_sub(age + limits.answer_margin);
                 let wait_at = open.wait_at.clone();
                 hub.tell(Event::Opened { sess: conn, open, left }).await;
                 let asked = admit::Asked { line, wait_at };
                 return admit::run(conn, client, buffer, asked, commands, hub).await;
             }
-            Some(First::Ping) => {
-                hub.tell(Event::Ping { conn }).await;
-                if !matches!(commands.recv().await, Some(Command::Pong)) {
-                    return;
-                }
-                if !end::write(&client, lines::PONG, limits.end).await {
-                    return;
-                }
-            }
-            None => {
+            Some(First::Ping) => hub.tell(Event::Ping { conn }).await,
+            _ => {
                 slog::debug!(hub.log, "a first line is odd"; "conn" => conn, "bytes" => line.len());
-                return;
+                return admit::spurned(conn, client, commands, hub).await;
             }
         }
     }
 }
 
-/// The next whole line; none where the connection ends before, or the line is too long.
-pub async fn line(stream: &TcpStream, buffer: &mut Buffer, most: usize) -> Option<Vec<u8>> {
+/// Why there is no next line.
+pub enum Unfit {
+    Ended,
+    Long,
+}
+
+/// The next whole line, without its end.
+pub async fn line(stream: &TcpStream, buffer: &mut Buffer, most: usize) -> Result<Vec<u8>, Unfit> {
     loop {
         if let Some(line) = buffer.take_line() {
-            return (line.len() <= most).then_some(line);
+            return if line.len() <= most { Ok(line) } else { Err(Unfit::Long) };
         }
         if buffer.partial() > most + lines::END.len() {
-            return None;
+            return Err(Unfit::Long);
         }
-        if buffer.fill(stream).await.ok()? == 0 {
-            return None;
+        if !matches!(buffer.fill(stream).await, Ok(1..)) {
+            return Err(Unfit::Ended);
         }
     }
 }
--- a/relay/src/net/mod.rs
+++ b/relay/src/net/mod.rs
@@ -26,11 +26,17 @@
 #[derive(Debug)]
 enum Command {
     Pong,
-    Dial { dial: u32, addr: SocketAddr, wait: Micros },
+    Dial {
+        dial: u32,
+        addr: SocketAddr,
+        wait: Micros,
+    },
     Pass,
     Answer(Vec<u8>),
     Move,
     Close,
+    /// Its place is wanted, and it has none as long as it is no session.
+    Shed,
 }
 
 /// What all tasks share: ways to the reducer and back, limits, time and the log. No state of sessions.
@@ -38,6 +44,8 @@
 struct Hub {
     events: mpsc::Sender<Event>,
     conns: Rc<RefCell<BTreeMap<SessId, mpsc::Sender<Command>>>>,
+    /// Where bytes go that nobody reads any more.
+    waste: Rc<RefCell<Vec<u8>>>,
     last_id: Rc<Cell<SessId>>,
     limits: Limits,
     order: ReportOrder,
--- a/relay/src/net/pass.rs
+++ b/relay/src/net/pass.rs
@@ -107,7 +107,7 @@
         Over::ClientEnded => {
             hub.tell(Event::Gone { sess: conn }).await;
             if end::write(&backend, up.lines(), hub.limits.end).await {
-                end::orderly(backend, hub.limits.end).await;
+                end::orderly(backend, hub).await;
             }
         }
         Over::ClientBroke => end::abrupt(backend),
@@ -117,20 +117,20 @@
             // Guards a client that would not know why: whom no last word told, is told to come again.
             let word: &[u8] = if how == DialEnd::Reset { lines::MOVE } else { b"" };
             drop(backend);
-            say(client, &down, word, hub).await;
+            say(client, &down, word, &mut commands, hub).await;
         }
         Over::Moved => {
             drop(backend);
-            say(client, &down, lines::MOVE, hub).await;
             hub.tell(Event::Ended { sess: conn, end: DialEnd::Recalled, report: None }).await;
+            say(client, &down, lines::MOVE, &mut commands, hub).await;
         }
     }
 }
 
 /// Whole lines that wait go first, then the word, then the end.
-async fn say(client: TcpStream, down: &Buffer, word: &[u8], hub: &Hub) {
+async fn say(client: TcpStream, down: &Buffer, word: &[u8], commands: &mut Receiver<Command>, hub: &Hub) {
     let last = [down.lines(), word].concat();
-    end::answer(client, &last, hub).await;
+    end::answer(client, &last, commands, hub).await;
 }
 
 async fn both(
--- a/relay/src/net/probe.rs
+++ b/relay/src/net/probe.rs
@@ -72,7 +72,7 @@
     if !end::write(stream, lines::STATS, limits.probe).await {
         return Err((DialEnd::Reset, None));
     }
-    let answer = first_line::line(stream, buffer, limits.line).await.ok_or((DialEnd::Reset, None))?;
+    let answer = first_line::line(stream, buffer, limits.line).await.map_err(|_| (DialEnd::Reset, None))?;
     match lines::said(&answer, hub.order) {
         Said::Pong(report) => Ok(report),
         Said::Busy(report) => Err((DialEnd::Full, report)),
--- a/relay/src/net/serve.rs
+++ b/relay/src/net/serve.rs
@@ -38,6 +38,8 @@
     let hub = Hub {
         events,
         conns: Rc::new(RefCell::new(BTreeMap::new())),
+        // Enough for what a peer sends at full speed between two reads.
+        waste: Rc::new(RefCell::new(vec![0; 1 << 16])),
         last_id: Rc::new(Cell::new(0)),
         limits,
         order: node.site.report,
@@ -107,6 +109,8 @@
                 }
                 Effect::TearDown { sess } => self.hub.command(sess, Command::Answer(lines::FAIL.to_vec())),
                 Effect::Move { sess } => self.hub.command(sess, Command::Move),
+                Effect::Spurn { conn } => self.hub.command(conn, Command::Answer(lines::ERROR.to_vec())),
+                Effect::Shed { conn } => self.hub.command(conn, Command::Shed),
                 Effect::Close { sess } => self.hub.command(sess, Command::Close),
                 Effect::Probe { server, addr } => self.probe(server, addr),
                 Effect::Forget { server } => _ = self.probes.remove(&server),
--- a/relay/src/reducer.rs
+++ b/relay/src/reducer.rs
@@ -8,11 +8,15 @@
 };
 use hallrelay_config::list::{Instance, List};
 use hallrelay_config::node::Node;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
+    /// A client has connected.
+    Came {
+        conn: SessId,
+    },
     /// A connection asks whether this relay is able to serve.
     Ping {
         conn: SessId,
@@ -23,6 +27,10 @@
         open: Open,
         left: Micros,
     },
+    /// What a connection sends is not of the protocol, or it sends nothing.
+    Odd {
+        conn: SessId,
+    },
     /// The client's connection is over.
     Gone {
         sess: SessId,
@@ -107,6 +115,14 @@
     Move {
         sess: SessId,
     },
+    /// An error for what is not of the protocol.
+    Spurn {
+        conn: SessId,
+    },
+    /// Ends a connection that is no session, for the place that it takes.
+    Shed {
+        conn: SessId,
+    },
     /// Ends the connection without a word.
     Close {
         sess: SessId,
@@ -148,6 +164,7 @@
 }
 
 struct Sess {
+    id: u64,
     stage: Stage,
     server: Option<ServerId>,
     dials: u32,
@@ -193,6 +210,12 @@
     ids: BTreeMap<String, ServerId>,
     generation: u64,
     watch: Watch,
+    /// Clients' connections, and those of them that are no session: their first line is awaited, or their
+    /// last one is out. The oldest first.
+    conns: BTreeSet<SessId>,
+    aside: VecDeque<SessId>,
+    /// Marks of the clients' connections that are sessions.
+    marks: BTreeSet<u64>,
     /// Connections that wait for a `PONG`.
     pings: Vec<SessId>,
     stopping: Option<Micros>,
@@ -210,6 +233,9 @@
             ids: BTreeMap::new(),
             generation: 0,
             watch: Watch::default(),
+            conns: BTreeSet::new(),
+            aside: VecDeque::new(),
+            marks: BTreeSet::new(),
             pings: Vec::new(),
             stopping: None,
             asks: Vec::new(),
@@ -230,15 +256,19 @@
     pub fn step(&mut self, now: Micros, event: Event, out: &mut Vec<Effect>) {
         self.now = now;
         match event {
+            Event::Came { conn } => self.came(conn, out),
+            Event::Odd { conn } => self.odd(conn, out),
             Event::Ping { conn } => {
                 self.pings.push(conn);
                 self.pong(out);
             }
             Event::Opened { sess, open, left } => self.opened(sess, open, left, out),
             Event::Gone { sess } => {
-                if self.sessions.remove(&sess).is_some_and(|s| s.standing.is_none()) {
+                if self.over(sess).is_some_and(|s| s.standing.is_none()) {
                     self.tell(Input::Left { sess }, out);
                 }
+                self.conns.remove(&sess);
+                self.aside.retain(|conn| *conn != sess);
                 self.pings.retain(|conn| *conn != sess);
             }
             Event::Up { sess, dial } if self.current(sess, dial) => self.up(sess, dial, out),
@@ -246,7 +276,7 @@
                 self.dial_ended(sess, dial, end, report, out);
             }
             Event::Ended { sess, end, report } => {
-                let Some(s) = self.sessions.remove(&sess) else { return };
+                let Some(s) = self.over(sess) else { return };
                 let dial = s.dials.saturating_sub(1);
                 self.tell(Input::DialEnded { sess, dial, end, settled: true, report }, out);
             }
@@ -322,10 +352,46 @@
         }
     }
 
+    /// Guards clients against crowds that connect and say nothing: where there is no place left, the oldest
+    /// connection that is no session gives up its own.
+    fn came(&mut self, conn: SessId, out: &mut Vec<Effect>) {
+        self.conns.insert(conn);
+        self.aside.push_back(conn);
+        if self.conns.len() > self.node.limits.clients {
+            if let Some(conn) = self.aside.pop_front() {
+                self.conns.remove(&conn);
+                out.push(Effect::Shed { conn });
+            }
+        }
+    }
+
+    /// What is not of the protocol is never served, also where a dial is out for it.
+    fn odd(&mut self, conn: SessId, out: &mut Vec<Effect>) {
+        self.pings.retain(|ping| *ping != conn);
+        let theirs = self.over(conn).is_some_and(|s| s.standing.is_none());
+        out.push(Effect::Spurn { conn });
+        if theirs {
+            self.tell(Input::Left { sess: conn }, out);
+        }
+    }
+
+    /// A session is over; its connection goes on for as long as its last line takes.
+    fn over(&mut self, sess: SessId) -> Option<Sess> {
+        let s = self.sessions.remove(&sess)?;
+        self.marks.remove(&s.id);
+        self.aside.push_back(sess);
+        Some(s)
+    }
+
     fn opened(&mut self, sess: SessId, open: Open, left: Micros, out: &mut Vec<Effect>) {
-        let Some(listener) = self.node.site.listeners.iter().position(|name| *name == open.listener) else {
-            return out.push(Effect::Close { sess });
-        };
+        let listener = self.node.site.listeners.iter().position(|name| *name == open.listener);
+        // Guards the open session whose mark another client sends, and times that no client would wait.
+        // (A connection that stood before may name a time of its own, which counts for nothing here.)
+        let fit = (open.at.is_some() || left <= self.node.limits.wait) && !self.marks.contains(&open.id);
+        let Some(listener) = listener.filter(|_| fit) else { return self.odd(sess, out) };
+        self.marks.insert(open.id);
+        self.conns.insert(sess);
+        self.aside.retain(|conn| *conn != sess);
         let most = self.node.site.dial_timeouts[listener];
         let asked = Asked {
             listener,
@@ -337,7 +403,7 @@
         let standing = open.at.is_some().then_some(asked);
         let left = if standing.is_some() { left.min(self.node.limits.standing) } else { asked.left };
         let due = self.now + left;
-        let s = Sess { stage: Stage::Admit, server: None, dials: 0, due, told: None, standing };
+        let s = Sess { id: open.id, stage: Stage::Admit, server: None, dials: 0, due, told: None, standing };
         self.sessions.insert(sess, s);
         out.push(Effect::Alarm { after: left, alarm: Alarm::Due(sess) });
         match open.at {
@@ -354,7 +420,7 @@
 
     /// The final answer, or none where the client's time is up: rule 1, for a relay that stood still.
     fn answer(&mut self, sess: SessId, answer: Effect, out: &mut Vec<Effect>) {
-        let Some(s) = self.sessions.remove(&sess) else { return };
+        let Some(s) = self.over(sess) else { return };
         let late = self.now > s.due + self.node.limits.answer_margin;
         out.push(if late { Effect::Close { sess } } else { answer });
     }
@@ -414,7 +480,7 @@
         // Served to its end at once: its last line is its answer.
         let settled = end == DialEnd::Ok;
         if settled {
-            self.sessions.remove(&sess);
+            self.over(sess);
         }
         self.tell(Input::DialEnded { sess, dial, end, settled, report }, out);
     }
@@ -583,7 +649,9 @@
         const TICK: Micros = 50_000;
         let limits = self.node.limits;
         let since = self.now - self.stopping.unwrap_or(self.now);
-        if self.sessions.is_empty() && since >= limits.stop_least {
+        // Last lines go out before it leaves; who is no session is not waited for longer than sessions are.
+        let empty = self.conns.is_empty() || (self.sessions.is_empty() && since >= limits.stop_by);
+        if empty && since >= limits.stop_least {
             return out.push(Effect::Exit);
         }
         let open: Vec<SessId> =
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -2,14 +2,14 @@
 //! `Program` is the reducer without sockets. Backends are named as in the list; a site line may say
 //! `known=NAME,NAME` for the list that the relay starts with, `told` where the list comes unasked. Inputs,
 //! each with `stalled` behind it where no alarm could go off before it:
-//!   `ping CONN`, `ask SESS LISTENER [wait=MS] [at=NAME]`, `gone SESS`, `up SESS DIAL`, `fell SESS DIAL HOW`,
+//!   `came FIRST..LAST`, `ping CONN`, `odd CONN`, `ask SESS LISTENER [wait=MS] [at=NAME] [mark=ID]`, `gone SESS`, `up SESS DIAL`, `fell SESS DIAL HOW`,
 //!   `ended SESS HOW`, `took SESS MS`, `load SESS X`, `list full|changes VERSION NAME[:draining|:gone] ..`,
 //!   `list broken` (of the newest watch, or of=WATCH), `reload PORT [KEY=VALUE]`, `probe NAME load=X [piled=X]`, `stop`, `run`. `first LINE` and `said LINE` show what a
 //!   parser makes of a line, `node KEY..` what is said where that key of the configuration is missing.
 //! `Loopback` is the program on sockets of 127.0.0.1. A line is `WHO DEED [TEXT]`: letters are clients,
 //! digits are backends (`1` and `2`, known from the start), `list` is discovery and `moved` where it may move to,
 //! a star is anything. Deeds:
-//!   `>` sends a line, `>>` sends text without a line's end, `ends` closes the connection, `shuts` ends
+//!   `>` sends a line (`\n` in it is a line's end), `>>` sends text without a line's end, `ends` closes the connection, `shuts` ends
 //!   listening, `floods` sends numbered lines till no more go, `relay stops` is SIGTERM, `relay reloads` SIGHUP
 //!   with discovery moved, or with a `faulty` text. With effect `so`:
 //!   `<` takes that line, `over` takes the end, `none` sees no connection come, `waits MS` sees nothing come,
@@ -125,13 +125,16 @@
         Ok(Some(match at(0)? {
             "run" => return Ok(None),
             "stop" => Event::Stop,
+            "came" => Event::Came { conn: sess()? },
+            "odd" => Event::Odd { conn: sess()? },
             "ping" => Event::Ping { conn: sess()? },
             "gone" => Event::Gone { sess: sess()? },
             "ask" => {
                 let wait = option(words, "wait").unwrap_or("2000");
                 let at_backend = option(words, "at").map(str::to_string);
-                let open =
-                    lines::Open { listener: at(2)?.to_string(), at: at_backend, ..lines::Open::default() };
+                let id = option(words, "mark").map_or(Ok(u64::from(num::<u32>(at(1)?)?)), num)?;
+                let listener = at(2)?.to_string();
+                let open = lines::Open { id, listener, at: at_backend, ..lines::Open::default() };
                 Event::Opened { sess: sess()?, open, left: millis(wait)? }
             }
             "up" => Event::Up { sess: sess()?, dial: num(at(2)?)? },
@@ -216,8 +219,15 @@
                     self.alarms.remove(&key);
                     self.step(key.0, Event::Alarm(alarm));
                 }
-                if let Some(event) = self.event(words)? {
-                    self.step(now, event);
+                let (first, last) = words.get(1).and_then(|w| w.split_once("..")).unwrap_or(("0", "0"));
+                for one in num::<u32>(first)?..=num(last)? {
+                    let (one, mut words) = (one.to_string(), words.to_vec());
+                    if last != "0" {
+                        words[1] = &one;
+                    }
+                    if let Some(event) = self.event(&words)? {
+                        self.step(now, event);
+                    }
                 }
             }
         }
@@ -234,6 +244,8 @@
             Effect::Refuse { sess, .. } => format!("refuse {sess}"),
             Effect::TearDown { sess } => format!("tear down {sess}"),
             Effect::Move { sess } => format!("move {sess}"),
+            Effect::Spurn { conn } => format!("spurn {conn}"),
+            Effect::Shed { conn } => format!("shed {conn}"),
             Effect::Close { sess } => format!("close {sess}"),
             Effect::Probe { addr, .. } => format!("probe s-{}", addr.port() - 1000),
             Effect::Forget { .. } => "forget".to_string(),
@@ -361,7 +373,7 @@
         // `x4097` is so many x.
         let rest = match rest.strip_prefix('x').and_then(|n| n.parse().ok()) {
             Some(count) => "x".repeat(count),
-            None => rest,
+            None => rest.replace("\\n", "\r\n"),
         };
         let told = |e: std::io::Error| format!("{who}: {e}");
         match *deed {
