--- a/relay/src/reducer.rs
+++ b/relay/src/reducer.rs
@@ -134,11 +134,11 @@
     Forget {
         server: ServerId,
     },
-    /// Watches the list from a version on; from 0 on, the whole of it.
+    /// Watches the list from a version on, or asks for the whole of it first.
     Watch {
         watch: u32,
         addr: SocketAddr,
-        since: u64,
+        since: Option<u64>,
     },
     Unwatch {
         watch: u32,
@@ -208,7 +208,8 @@
     sessions: BTreeMap<SessId, Sess>,
     servers: BTreeMap<ServerId, Server>,
     ids: BTreeMap<String, ServerId>,
-    generation: u64,
+    /// The version that was heard last; none from a discovery that has not told one yet.
+    generation: Option<u64>,
     watch: Watch,
     /// Clients' connections, and those of them that are no session: their first line is awaited, or their
     /// last one is out. The oldest first.
@@ -231,7 +232,7 @@
             sessions: BTreeMap::new(),
             servers: BTreeMap::new(),
             ids: BTreeMap::new(),
-            generation: 0,
+            generation: None,
             watch: Watch::default(),
             conns: BTreeSet::new(),
             aside: VecDeque::new(),
@@ -245,7 +246,7 @@
     /// Begins with the list as this relay last had it.
     pub fn start(&mut self, now: Micros, out: &mut Vec<Effect>) {
         let known = List { whole: true, ..self.node.known.clone() };
-        (self.now, self.generation) = (now, known.generation);
+        (self.now, self.generation) = (now, Some(known.generation));
         self.list(known, out);
         // Where the module counts on being told unasked, the watch that tells it is the program's own.
         if !self.node.site.facts.must_watch {
@@ -540,7 +541,7 @@
     fn heard(&mut self, watch: u32, list: List, out: &mut Vec<Effect>) {
         let w = &mut self.watch;
         if watch == w.last {
-            self.generation = list.generation;
+            self.generation = Some(list.generation);
             if !std::mem::replace(&mut w.spoke, true) {
                 out.extend(w.before.replace(watch).map(|watch| Effect::Unwatch { watch }));
             }
@@ -573,7 +574,7 @@
                 _ => w.before = Some(w.last),
             }
         }
-        self.generation = 0;
+        self.generation = None;
         self.ask_list(out);
     }
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,7 +1,6 @@
-//! All decisions of a relay, for one instance. How to call it: make a `Relay` from its site facts and
-//! seed, then hand `step` every input in order of arrival with the clock of its batch; carry out the
-//! effects it appends, in order. Inputs, effects and site facts are defined in `types.rs`; the design
-//! page is `docs/design.md`. Nothing here reads a clock, and instances share nothing.
+//! All decisions of a relay, for one instance. Make a `Relay` from its site facts and seed, then hand `step`
+//! every input in order of arrival with the clock of its batch, and carry out the effects it appends, in order.
+//! `types.rs` defines these, `docs/design.md` is the design. Nothing here reads a clock; instances share nothing.
 
 use crate::tools::{mix, Chance, Flow, Least, Ring};
 use crate::types::*;
@@ -55,10 +54,8 @@
     load: f64,
     piled: f64,
     heard: Option<Micros>,
-    /// Seconds that a message took there, and when this was told.
-    delay: (f64, Micros),
-    /// Probes and connects in a row without an answer.
-    misses: u32,
+    delay: (f64, Micros), // seconds that a message took there, and when this was told
+    misses: u32,          // probes and connects in a row without an answer
     /// From when this relay's part of the cold budget runs, and what part of a pause its next turn takes.
     turn: (Micros, f64),
     asked: Micros,
@@ -77,13 +74,11 @@
     dials: u32,
     dialled: Micros,
     tried: Vec<ServerId>,
-    /// The first dial that may have run, and where.
-    ran: Option<(Micros, u8, u16)>,
+    ran: Option<(Micros, u8, u16)>, // the first dial that may have run, and where
     /// Servers whose answers it waits for, and until when: half of the handshake target leaves time to dial.
     waits: Vec<ServerId>,
     wait_until: Micros,
-    /// How heavy it is against the mean, as far as it was told.
-    weight: f64,
+    weight: f64, // against the mean, as far as it was told
 }
 
 /// The fleet as HEU sees it, a server's mean load, one session's part of it, and how many relays do alike.
@@ -111,6 +106,7 @@
     mean_load: f64,
     n: u32,
     net: Ring,
+    lost: Ring, // sessions that left here and have not come again
     /// Piled-up work, in seconds, over which a server is congested.
     bar: f64,
     gauge: Gauge,
@@ -232,8 +228,14 @@
         let weight = if by > 0 && s.state == Open { 0.0 } else { s.weight };
         let (change, key) = (f64::from(by) * weight, (s.server, s.asked.group));
         self.n = self.n.saturating_add_signed(by);
-        self.net.add(self.now, change);
-        self.gauge.x_busy += change * self.gauge.alike * self.gauge.step;
+        // Guards a relay beside one that stops: who comes back and was not here has only changed relays, and
+        // its load is in the reports. Up to a fifth it may be chance (tried 0, which opens a full fleet).
+        let back = by > 0 && s.asked.returned;
+        let moved = back && self.lost.sum(self.now, 8 * SECOND) < -0.2 * f64::from(self.n);
+        self.lost.add(self.now, f64::from(-by * i32::from(by < 0 || back && !moved)));
+        let news = if moved { 0.0 } else { change };
+        self.net.add(self.now, news);
+        self.gauge.x_busy += news * self.gauge.alike * self.gauge.step;
         let members = self.groups.entry(key).or_insert(0);
         *members = members.saturating_add_signed(by);
         if *members == 0 || key.1 == 0 {
@@ -302,12 +304,13 @@
             return self.gauge;
         }
         let (mut all, mut sums) = (0.0, [0.0; 5]);
-        for v in self.servers.values().filter(|v| v.ready() && v.misses == 0) {
-            all += 1.0;
+        for v in self.servers.values().filter(|v| v.entry.ready() && v.misses == 0) {
+            let warmth = self.warmth(v);
+            all += warmth;
             if v.heard.is_some() || self.piled(v) > self.bar {
                 let (age, cong) = (self.now - v.heard.unwrap_or(self.now), self.tier(v, &[]) > 0);
                 let one = [1.0, (v.load + self.piled(v)).min(1.0), v.load, f64::from(cong), age as f64];
-                sums.iter_mut().zip(one).for_each(|(sum, x)| *sum += x);
+                sums.iter_mut().zip(one).for_each(|(sum, x)| *sum += x * warmth);
             }
         }
         let [k, load, asked, cong, age] = sums;
@@ -335,8 +338,7 @@
         (v.piled * v.heard.map_or(0.0, news)).max(v.delay.0 * news(v.delay.1))
     }
 
-    /// The probed load, brought up to now by what this relay placed since, times the relays that do alike.
-    /// A server that was never heard is taken for the mean.
+    /// The probed load, or the mean where none was heard, with what was placed since, times who does alike.
     fn load_now(&self, v: &Server, g: &Gauge) -> f64 {
         // On one server all do alike still less: no more than four, tried 2 and 8.
         let since = v.flow.net.sum(self.now, v.heard.map_or(0, |t| self.now - t) + LAG);
@@ -349,7 +351,7 @@
     /// priced crossing, then by a hash of group and server, which all relays share without a word.
     fn pool(&self, s: &Sess, g: &Gauge) -> Vec<ServerId> {
         let mut best = Least::new(POOL);
-        for v in self.servers.values().filter(|v| v.ready()) {
+        for v in self.servers.values().filter(|v| v.entry.ready()) {
             let crossing = v.entry.zone != self.site.zone && self.site.price_crossing > 0.0;
             let hash = mix(s.salt ^ (u64::from(v.entry.server) << 32));
             // Most servers rank too low at their best, and cost no more than that.
@@ -398,17 +400,20 @@
         }
     }
 
+    /// The part of its capacity that a server surely has, so long after its start.
+    fn warmth(&self, v: &Server) -> f64 {
+        let age = self.now.saturating_sub(v.entry.came_up) as f64 / self.site.cold.max(1) as f64;
+        let part = if v.entry.came_up == 0 { 1.0 } else { age.min(1.0) };
+        self.site.cold_from + (1.0 - self.site.cold_from) * part
+    }
+
     /// Rule 4: whether this relay's part of a cold server's budget has room again.
     fn cold_open(&self, v: &Server, g: &Gauge) -> bool {
-        let age = self.now.saturating_sub(v.entry.came_up) as f64;
-        if v.entry.came_up == 0 || age >= self.site.cold as f64 {
-            return true;
-        }
-        let warmth = self.site.cold_from + (1.0 - self.site.cold_from) * age / self.site.cold as f64;
+        let warmth = self.warmth(v);
         // What a server holds when full, taken in over a whole warm-up, is shared by the relays. Few have a
         // session for it just then: without the 1.4 hunts for broken rules met at most half of the limit.
         let each = self.site.cold as f64 * g.step * f64::from(self.site.relays) / 1.4;
-        (self.now - v.turn.0) as f64 >= v.turn.1 * each / (self.site.fall_multiple * warmth)
+        warmth >= 1.0 || (self.now - v.turn.0) as f64 >= v.turn.1 * each / (self.site.fall_multiple * warmth)
     }
 
     fn dial(&mut self, sess: SessId, out: &mut Vec<Effect>) {
@@ -504,7 +509,7 @@
         let least = SECOND as f64 / 2.0 / self.servers.len().max(1) as f64;
         let after = (8.0 * SECOND as f64 / spare.max(4.0)).max(least) as Micros;
         out.push(Effect::Alarm { after, label: PROBE });
-        let idle = self.servers.values().filter(|v| v.ready() && !v.awaited && spare >= 1.0);
+        let idle = self.servers.values().filter(|v| v.entry.ready() && !v.awaited && spare >= 1.0);
         if let Some(server) = idle.min_by_key(|v| v.asked).map(|v| v.entry.server) {
             self.probe(server, out);
         }
@@ -527,10 +532,9 @@
 
     /// Sessions on a server that fills up go where they lose less; each probe answer moves a few.
     fn relieve(&mut self, server: ServerId, out: &mut Vec<Effect>) {
-        // What a move must gain beyond its price: gap, set-up, and the doubt about old answers.
-        const DOUBT: f64 = 0.15;
+        const DOUBT: f64 = 0.15; // a move's gain beyond its price: gap, set-up, doubt about old answers
         let v = &self.servers[&server];
-        if self.load_now(v, &self.gauge) < FULL || !v.ready() || self.now - v.relieved < LAG {
+        if self.load_now(v, &self.gauge) < FULL || !v.entry.ready() || self.now - v.relieved < LAG {
             return; // what was moved does not show yet
         }
         let g = self.gauge();
@@ -578,10 +582,6 @@
 }
 
 impl Server {
-    fn ready(&self) -> bool {
-        self.entry.phase == Phase::Ready
-    }
-
     fn hear(&mut self, now: Micros, report: Option<Report>) {
         if let Some(Report { load: Some(load), piled }) = report {
             (self.heard, self.load, self.piled) = (Some(now), load, piled.unwrap_or(0.0));
--- a/src/types.rs
+++ b/src/types.rs
@@ -82,6 +82,12 @@
     pub cell: u16,
 }
 
+impl Entry {
+    pub fn ready(&self) -> bool {
+        self.phase == Phase::Ready
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListKind {
     Full,
