--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -14,8 +14,8 @@
 //!   `>` sends a line (`\n` in it is a line's end), `>>` sends text without a line's end,
 //!   `ends` closes the connection, `shuts` ends listening, `floods` sends numbered lines till no more go,
 //!   `relay stops` is SIGTERM, `relay reloads` SIGHUP with discovery moved or with a `faulty` text. With
-//!   effect `so`: `<` takes that line, `over` takes the end, `none` sees no connection come, `waits MS` sees nothing come,
-//!   `drinks` takes all lines of the flood.
+//!   effect `so`: `<` takes that line, `over` takes the end, `none` sees no connection come, `waits MS` sees
+//!   nothing come, `drinks` takes all lines of the flood.
 use crate::{dial_end, millis, num, option, Fault, Subject};
 use hallrelay::types::{Micros, Report};
 use hallrelay_config::facts::ReportOrder;
