--- a/config/src/limits.rs
+++ b/config/src/limits.rs
@@ -41,9 +41,11 @@
     pub end: Micros,
     pub discovery_first: Micros,
     pub discovery_silence: Micros,
-    /// From when on SIGTERM sessions are moved, and by when all are; no exit before `stop_least`.
+    /// From when on SIGTERM sessions are moved, by when all are, and till when their last lines are waited for;
+    /// no exit before `stop_least`.
     pub stop_from: Micros,
     pub stop_by: Micros,
+    pub stop_end: Micros,
     pub stop_least: Micros,
     pub standing: Micros,
 }
@@ -69,7 +71,8 @@
             buffer_first: 256,
             buffer_most: 8192,
             // More clients than sessions, so that those over the cap still get their answer.
-            clients: left * 11 / 20,
+            // (A backend's connection may outlive its client's for a moment: some descriptors are left for that.)
+            clients: left / 2,
             shedding: 8,
             sessions: (left * 9 / 20) as u32,
             probes: sockets / Self::PROBE_PART,
@@ -100,9 +103,10 @@
             discovery_silence: (ask / 2).min(5_000 * MS),
             // Whom the only relay that is up moves early waits for the next start, and longer with each try.
             // The front goes on sending new connections for 0.2 to 0.4 s.
-            stop_from: longest.saturating_sub(500 * MS).max(500 * MS),
+            stop_from: longest.max(500 * MS),
             // SIGKILL may come 0.7 s after the longest dial timeout; the last moved need time to leave.
-            stop_by: (longest + 100 * MS).max(800 * MS),
+            stop_by: (longest + 350 * MS).max(800 * MS),
+            stop_end: (longest + 550 * MS).max(1000 * MS),
             stop_least: 1000 * MS,
             standing: 40_000 * MS,
         })
--- a/relay/src/reducer.rs
+++ b/relay/src/reducer.rs
@@ -650,8 +650,8 @@
         const TICK: Micros = 50_000;
         let limits = self.node.limits;
         let since = self.now - self.stopping.unwrap_or(self.now);
-        // Last lines go out before it leaves; who is no session is not waited for longer than sessions are.
-        let empty = self.conns.is_empty() || (self.sessions.is_empty() && since >= limits.stop_by);
+        // Last lines go out before it leaves; who is no session is not waited for much longer than those.
+        let empty = self.conns.is_empty() || (self.sessions.is_empty() && since >= limits.stop_end);
         if empty && since >= limits.stop_least {
             return out.push(Effect::Exit);
         }
