--- a/config/src/limits.rs
+++ b/config/src/limits.rs
@@ -35,14 +35,16 @@
     pub probe_idle: Micros,
     /// A message that brings nothing back for this long: the backend is taken for silent.
     pub silence: Micros,
+    /// The same where the backend answers no probes either.
+    pub doubted: Micros,
     /// A client that takes nothing for this long is let go.
     pub stuck: Micros,
     /// The time to write a last line and for the other side to close.
     pub end: Micros,
     pub discovery_first: Micros,
     pub discovery_silence: Micros,
-    /// From when on SIGTERM sessions are moved, by when all are, and till when their last lines are waited for;
-    /// no exit before `stop_least`.
+    /// From when on SIGTERM sessions are moved, by when all are, and till when their last lines are awaited; no
+    /// exit before `stop_least`.
     pub stop_from: Micros,
     pub stop_by: Micros,
     pub stop_end: Micros,
@@ -71,7 +73,7 @@
             buffer_first: 256,
             buffer_most: 8192,
             // More clients than sessions, so that those over the cap still get their answer.
-            // (A backend's connection may outlive its client's for a moment: some descriptors are left for that.)
+            // (A backend's connection may outlive its client's for a moment: some are left for that.)
             clients: left / 2,
             shedding: 8,
             sessions: (left * 9 / 20) as u32,
@@ -96,6 +98,8 @@
             // Answers come at once, and clients speak every 2 s: by then two messages would be lost, far from
             // the 7 s within which clients must be told. 4.5 s kept less where servers drop sessions unsaid.
             silence: 2_000 * MS,
+            // As long as a probe may take.
+            doubted: site.connect * 2,
             stuck: 30_000 * MS,
             end: 500 * MS,
             discovery_first: (ask / 2).min(4_000 * MS),
--- a/relay/src/net/admit.rs
+++ b/relay/src/net/admit.rs
@@ -87,7 +87,7 @@
         match command {
             Command::Answer(line) => return end::answer(client, &line, &mut commands, hub).await,
             // What was on its way before is moot.
-            Command::Dial { .. } | Command::Pong | Command::Shed => {}
+            Command::Dial { .. } | Command::Pong | Command::Shed | Command::Doubt(_) => {}
             Command::Pass | Command::Move | Command::Close => return,
         }
     }
--- a/relay/src/net/mod.rs
+++ b/relay/src/net/mod.rs
@@ -35,6 +35,8 @@
     Answer(Vec<u8>),
     Move,
     Close,
+    /// Whether its backend's silence is to tell sooner.
+    Doubt(bool),
     /// Its place is wanted, and it has none as long as it is no session.
     Shed,
 }
--- a/relay/src/net/pass.rs
+++ b/relay/src/net/pass.rs
@@ -30,6 +30,8 @@
     unanswered: VecDeque<Micros>,
     /// A message that waits too long, and until when its answer may still lie unread.
     doubt: Option<(Micros, Micros)>,
+    /// How long that is.
+    patience: Micros,
     last: Option<(DialEnd, Option<Report>)>,
 }
 
@@ -69,7 +71,7 @@
     fn silent_at(&self) -> Option<Micros> {
         let then = *self.unanswered.front()?;
         let doubt = self.doubt.filter(|doubt| doubt.0 == then);
-        Some(doubt.map_or(then + self.hub.limits.silence, |doubt| doubt.1))
+        Some(doubt.map_or(then + self.patience, |doubt| doubt.1))
     }
 
     /// Whether it is lost. Guards against a standstill of the relay: what came meanwhile is read first.
@@ -91,7 +93,8 @@
     hub: &Hub,
 ) {
     let Backend { stream: backend, buffer: mut down, up: receipt } = backend;
-    let mut ear = Ear { conn, hub, unanswered: VecDeque::new(), doubt: None, last: None };
+    let patience = hub.limits.silence;
+    let mut ear = Ear { conn, hub, unanswered: VecDeque::new(), doubt: None, patience, last: None };
     let over = if end::write(&client, &receipt, hub.limits.stuck).await {
         drop(receipt);
         let fit = ear.client_lines(up.lines()) && ear.backend_lines(down.lines()).await;
@@ -155,6 +158,9 @@
         tokio::select! {
             command = commands.recv() => match command {
                 Some(Command::Move) => return Over::Moved,
+                Some(Command::Doubt(doubted)) => {
+                    ear.patience = if doubted { limits.doubted } else { limits.silence };
+                }
                 _ => return Over::Closed,
             },
             count = up.fill(client), if up.has_room() => match count {
--- a/relay/src/net/serve.rs
+++ b/relay/src/net/serve.rs
@@ -111,6 +111,7 @@
                 Effect::Move { sess } => self.hub.command(sess, Command::Move),
                 Effect::Spurn { conn } => self.hub.command(conn, Command::Answer(lines::ERROR.to_vec())),
                 Effect::Shed { conn } => self.hub.command(conn, Command::Shed),
+                Effect::Doubt { sess, doubted } => self.hub.command(sess, Command::Doubt(doubted)),
                 Effect::Close { sess } => self.hub.command(sess, Command::Close),
                 Effect::Probe { server, addr } => self.probe(server, addr),
                 Effect::Forget { server } => _ = self.probes.remove(&server),
--- a/relay/src/reducer.rs
+++ b/relay/src/reducer.rs
@@ -123,6 +123,11 @@
     Shed {
         conn: SessId,
     },
+    /// The session's backend answers no probes: its silence tells sooner, till it answers again.
+    Doubt {
+        sess: SessId,
+        doubted: bool,
+    },
     /// Ends the connection without a word.
     Close {
         sess: SessId,
@@ -180,6 +185,8 @@
     addr: SocketAddr,
     phase: Phase,
     probing: bool,
+    /// Probes in a row without any answer.
+    misses: u32,
     delay: Delay,
 }
 
@@ -284,7 +291,7 @@
             Event::Load { sess, load } if self.passing(sess) => self.load(sess, load, out),
             Event::Took { sess, time } if self.passing(sess) => self.took(sess, time, out),
             Event::Probed { server, end, report } => {
-                self.servers.entry(server).and_modify(|v| v.probing = false);
+                self.probed(server, end, out);
                 self.tell(Input::Probed { server, end, report }, out);
             }
             Event::List { watch, list } => self.heard(watch, list, out),
@@ -508,6 +515,23 @@
         self.tell(input, out);
     }
 
+    /// Guards sessions on a machine that vanished unsaid: each would find out by a message of its own.
+    fn probed(&mut self, server: ServerId, end: DialEnd, out: &mut Vec<Effect>) {
+        // One may be lost to a busy moment.
+        const MISSES: u32 = 2;
+        let Some(v) = self.servers.get_mut(&server) else { return };
+        v.probing = false;
+        let missed = matches!(end, DialEnd::Timeout | DialEnd::Unconnected);
+        let before = v.misses;
+        v.misses = if missed { before + 1 } else { 0 };
+        let doubted = v.misses >= MISSES;
+        if doubted != (before >= MISSES) {
+            let there =
+                self.sessions.iter().filter(|(_, s)| s.server == Some(server) && s.stage == Stage::Pass);
+            out.extend(there.map(|(&sess, _)| Effect::Doubt { sess, doubted }));
+        }
+    }
+
     /// Tells the module as a server's messages grow slow, once a second, and once more when that is over.
     fn took(&mut self, sess: SessId, time: Micros, out: &mut Vec<Effect>) {
         const SECOND: Micros = 1_000_000;
@@ -606,6 +630,7 @@
             addr: one.addr,
             phase: one.phase,
             probing: false,
+            misses: 0,
             delay: Delay::default(),
         };
         let v = self.servers.entry(server).or_insert_with(fresh);
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -1,13 +1,13 @@
 //! What relay scenarios are played against.
 //! `Program` is the reducer without sockets. Backends are named as in the list; a site line may say
-//! `known=NAME,NAME` for the list that the relay starts with, `told` where the list comes unasked. Inputs,
-//! each with `stalled` behind it where no alarm could go off before it:
+//! `known=NAME,NAME` for the list that the relay starts with, `told` where the list comes unasked, `probes`.
+//! Inputs, each with `stalled` behind it where no alarm could go off before it:
 //!   `came FIRST..LAST`, `ping CONN`, `odd CONN`, `ask SESS LISTENER [wait=MS] [at=NAME] [mark=ID]`,
 //!   `gone SESS`, `up SESS DIAL`, `fell SESS DIAL HOW`, `ended SESS HOW`, `took SESS MS`, `load SESS X`,
 //!   `list full|changes VERSION NAME[:draining|:gone] ..`,
 //!   `list broken` (of the newest watch, or of=WATCH), `reload PORT [KEY=VALUE]`,
-//!   `probe NAME load=X [piled=X]`, `stop`, `run`. `first LINE` and `said LINE` show what a parser makes of a
-//!   line, `node KEY..` what is said where that key of the configuration is missing.
+//!   `probe NAME HOW|load=X [piled=X]`, `stop`, `run`. `first LINE` and `said LINE` show what a parser makes
+//!   of a line, `node KEY..` what is said where that key of the configuration is missing.
 //! `Loopback` is the program on sockets of 127.0.0.1. A line is `WHO DEED [TEXT]`: letters are clients,
 //! digits are backends (`1` and `2`, known from the start), `list` is discovery and `moved` where it may move
 //! to, a star is anything. Deeds:
@@ -67,6 +67,7 @@
 pub struct Program {
     known: Vec<(String, String)>,
     told: bool,
+    probes: bool,
     /// The newest watch.
     watch: u32,
     reducer: Option<Reducer>,
@@ -81,6 +82,7 @@
 impl Program {
     fn text(&self, discovery: &str) -> Value {
         let mut text = text("127.0.0.1:1", discovery, &self.known);
+        text["settings"]["Ceilings"]["MayProbe"] = json!(self.probes);
         if self.told {
             text["settings"]["Discovery"] = json!("automatic");
         }
@@ -151,7 +153,8 @@
                 let value = |key| option(words, key).map(num).transpose();
                 let report = Some(Report { load: value("load")?, piled: value("piled")? });
                 let server = *self.probed.get(at(1)?).ok_or("no probe is out there")?;
-                Event::Probed { server, end: hallrelay::types::DialEnd::Ok, report }
+                let end = if at(2)?.contains('=') { "ok" } else { at(2)? };
+                Event::Probed { server, end: dial_end(end)?, report }
             }
             "list" if at(1)? == "broken" => Event::ListBroken { watch },
             "list" => {
@@ -185,6 +188,7 @@
     fn site(&mut self, words: &[&str]) -> Result<(), Fault> {
         let known = option(words, "known").ok_or("a site line says known=NAME,NAME")?;
         self.told = words.contains(&"told");
+        self.probes = words.contains(&"probes");
         self.known = known.split(',').map(|name| (name.to_string(), addr(name))).collect();
         Ok(())
     }
@@ -248,6 +252,8 @@
             Effect::Move { sess } => format!("move {sess}"),
             Effect::Spurn { conn } => format!("spurn {conn}"),
             Effect::Shed { conn } => format!("shed {conn}"),
+            Effect::Doubt { sess, doubted: true } => format!("doubt {sess}"),
+            Effect::Doubt { sess, .. } => format!("trust {sess}"),
             Effect::Close { sess } => format!("close {sess}"),
             Effect::Probe { addr, .. } => format!("probe s-{}", addr.port() - 1000),
             Effect::Forget { .. } => "forget".to_string(),
