--- a/config/src/limits.rs
+++ b/config/src/limits.rs
@@ -43,8 +43,8 @@
     pub end: Micros,
     pub discovery_first: Micros,
     pub discovery_silence: Micros,
-    /// From when on SIGTERM sessions are moved, by when all are, and till when their last lines are awaited; no
-    /// exit before `stop_least`.
+    /// From when on SIGTERM sessions are moved, by when all are, till when last lines are awaited; no exit
+    /// before `stop_least`.
     pub stop_from: Micros,
     pub stop_by: Micros,
     pub stop_end: Micros,
