The reducer derives which connections, marks and watches it has; scenarios share parsers

Dropped as derivable: the set of all connections (sessions and those aside), the set of open marks (the sessions name them), whether the newest watch has spoken (it is the one kept), and a limit that was always equal to the probe's time. A client's leaving and an odd line now end a session by the same function. In the tests the reducer's scenarios use the runner's own range and probe parsers, and one text of the configuration.

--- a/config/src/limits.rs
+++ b/config/src/limits.rs
@@ -35,8 +35,6 @@
     pub probe_idle: Micros,
     /// A message that brings nothing back for this long: the backend is taken for silent.
     pub silence: Micros,
-    /// The same where the backend answers no probes either.
-    pub doubted: Micros,
     /// A client that takes nothing for this long is let go.
     pub stuck: Micros,
     /// The time to write a last line and for the other side to close.
@@ -98,8 +96,6 @@
             // Answers come at once, and clients speak every 2 s: by then two messages would be lost, far from
             // the 7 s within which clients must be told. 4.5 s kept less where servers drop sessions unsaid.
             silence: 2_000 * MS,
-            // As long as a probe may take.
-            doubted: site.connect * 2,
             stuck: 30_000 * MS,
             end: 500 * MS,
             discovery_first: (ask / 2).min(4_000 * MS),
--- a/relay/src/net/pass.rs
+++ b/relay/src/net/pass.rs
@@ -159,7 +159,8 @@
             command = commands.recv() => match command {
                 Some(Command::Move) => return Over::Moved,
                 Some(Command::Doubt(doubted)) => {
-                    ear.patience = if doubted { limits.doubted } else { limits.silence };
+                    // Where the backend answers no probes, a message gets no more time than a probe.
+                    ear.patience = if doubted { limits.probe } else { limits.silence };
                 }
                 _ => return Over::Closed,
             },
--- a/relay/src/reducer.rs
+++ b/relay/src/reducer.rs
@@ -8,7 +8,7 @@
 };
 use hallrelay_config::list::{Instance, List};
 use hallrelay_config::node::Node;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
 #[derive(Clone, Debug, PartialEq)]
@@ -201,10 +201,8 @@
 #[derive(Default)]
 struct Watch {
     last: u32,
-    /// Whether it is out, and has told anything.
     out: bool,
-    spoke: bool,
-    /// The one that was out or spoke before a new one was asked for, kept until the new one speaks.
+    /// The one that spoke last, or that was out before a new one was asked for: kept until the new one speaks.
     before: Option<u32>,
 }
 
@@ -218,12 +216,9 @@
     /// The version that was heard last; none from a discovery that has not told one yet.
     generation: Option<u64>,
     watch: Watch,
-    /// Clients' connections, and those of them that are no session: their first line is awaited, or their
-    /// last one is out. The oldest first.
-    conns: BTreeSet<SessId>,
+    /// Clients' connections that are no session: their first line is awaited, or their last one is out. The
+    /// oldest first. Sessions and these are all connections that have a place.
     aside: VecDeque<SessId>,
-    /// Marks of the clients' connections that are sessions.
-    marks: BTreeSet<u64>,
     /// Connections that wait for a `PONG`.
     pings: Vec<SessId>,
     stopping: Option<Micros>,
@@ -241,9 +236,7 @@
             ids: BTreeMap::new(),
             generation: None,
             watch: Watch::default(),
-            conns: BTreeSet::new(),
             aside: VecDeque::new(),
-            marks: BTreeSet::new(),
             pings: Vec::new(),
             stopping: None,
             asks: Vec::new(),
@@ -272,10 +265,7 @@
             }
             Event::Opened { sess, open, left } => self.opened(sess, open, left, out),
             Event::Gone { sess } => {
-                if self.over(sess).is_some_and(|s| s.standing.is_none()) {
-                    self.tell(Input::Left { sess }, out);
-                }
-                self.conns.remove(&sess);
+                self.left(sess, out);
                 self.aside.retain(|conn| *conn != sess);
                 self.pings.retain(|conn| *conn != sess);
             }
@@ -363,30 +353,29 @@
     /// Guards clients against crowds that connect and say nothing: where there is no place left, the oldest
     /// connection that is no session gives up its own.
     fn came(&mut self, conn: SessId, out: &mut Vec<Effect>) {
-        self.conns.insert(conn);
         self.aside.push_back(conn);
-        if self.conns.len() > self.node.limits.clients {
-            if let Some(conn) = self.aside.pop_front() {
-                self.conns.remove(&conn);
-                out.push(Effect::Shed { conn });
-            }
+        if self.sessions.len() + self.aside.len() > self.node.limits.clients {
+            out.extend(self.aside.pop_front().map(|conn| Effect::Shed { conn }));
         }
     }
 
     /// What is not of the protocol is never served, also where a dial is out for it.
     fn odd(&mut self, conn: SessId, out: &mut Vec<Effect>) {
         self.pings.retain(|ping| *ping != conn);
-        let theirs = self.over(conn).is_some_and(|s| s.standing.is_none());
         out.push(Effect::Spurn { conn });
-        if theirs {
-            self.tell(Input::Left { sess: conn }, out);
+        self.left(conn, out);
+    }
+
+    /// A session ends by its client's doing; the module knows it, unless it still waits to stand again.
+    fn left(&mut self, sess: SessId, out: &mut Vec<Effect>) {
+        if self.over(sess).is_some_and(|s| s.standing.is_none()) {
+            self.tell(Input::Left { sess }, out);
         }
     }
 
     /// A session is over; its connection goes on for as long as its last line takes.
     fn over(&mut self, sess: SessId) -> Option<Sess> {
         let s = self.sessions.remove(&sess)?;
-        self.marks.remove(&s.id);
         self.aside.push_back(sess);
         Some(s)
     }
@@ -395,10 +384,9 @@
         let listener = self.node.site.listeners.iter().position(|name| *name == open.listener);
         // Guards the open session whose mark another client sends, and times that no client would wait.
         // (A connection that stood before may name a time of its own, which counts for nothing here.)
-        let fit = (open.at.is_some() || left <= self.node.limits.wait) && !self.marks.contains(&open.id);
+        let timely = open.at.is_some() || left <= self.node.limits.wait;
+        let fit = timely && !self.sessions.values().any(|s| s.id == open.id);
         let Some(listener) = listener.filter(|_| fit) else { return self.odd(sess, out) };
-        self.marks.insert(open.id);
-        self.conns.insert(sess);
         self.aside.retain(|conn| *conn != sess);
         let most = self.node.site.dial_timeouts[listener];
         let asked = Asked {
@@ -555,8 +543,8 @@
 
     fn ask_list(&mut self, out: &mut Vec<Effect>) {
         if !self.watch.out {
-            let watch = self.watch.last + 1;
-            self.watch = Watch { last: watch, out: true, spoke: false, before: self.watch.before };
+            (self.watch.last, self.watch.out) = (self.watch.last + 1, true);
+            let watch = self.watch.last;
             out.push(Effect::Watch { watch, addr: self.node.discovery, since: self.generation });
         }
     }
@@ -566,9 +554,8 @@
         let w = &mut self.watch;
         if watch == w.last {
             self.generation = Some(list.generation);
-            if !std::mem::replace(&mut w.spoke, true) {
-                out.extend(w.before.replace(watch).map(|watch| Effect::Unwatch { watch }));
-            }
+            let before = w.before.replace(watch).filter(|before| *before != watch);
+            out.extend(before.map(|watch| Effect::Unwatch { watch }));
         } else if w.before != Some(watch) {
             return;
         }
@@ -676,7 +663,7 @@
         let limits = self.node.limits;
         let since = self.now - self.stopping.unwrap_or(self.now);
         // Last lines go out before it leaves; who is no session is not waited for much longer than those.
-        let empty = self.conns.is_empty() || (self.sessions.is_empty() && since >= limits.stop_end);
+        let empty = self.sessions.is_empty() && (self.aside.is_empty() || since >= limits.stop_end);
         if empty && since >= limits.stop_least {
             return out.push(Effect::Exit);
         }
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -16,8 +16,8 @@
 //!   `relay stops` is SIGTERM, `relay reloads` SIGHUP with discovery moved or with a `faulty` text. With
 //!   effect `so`: `<` takes that line, `over` takes the end, `none` sees no connection come, `waits MS` sees
 //!   nothing come, `drinks` takes all lines of the flood.
-use crate::{dial_end, millis, num, option, Fault, Subject};
-use hallrelay::types::{Micros, Report};
+use crate::{dial_end, millis, num, option, probe_end, range, Fault, Subject};
+use hallrelay::types::Micros;
 use hallrelay_config::facts::ReportOrder;
 use hallrelay_config::node::{self, Node, Told};
 use hallrelay_relay::lines;
@@ -122,14 +122,14 @@
         self.effects.append(&mut out);
     }
 
-    fn event(&self, words: &[&str]) -> Result<Option<Event>, Fault> {
+    fn events(&self, words: &[&str]) -> Result<Vec<Event>, Fault> {
         let at = |i: usize| words.get(i).copied().ok_or(format!("'{}' is too short", words.join(" ")));
         let sess = || num(at(1)?);
         let watch = option(words, "of").map_or(Ok(self.watch), num)?;
-        Ok(Some(match at(0)? {
-            "run" => return Ok(None),
+        Ok(vec![match at(0)? {
+            "run" => return Ok(vec![]),
             "stop" => Event::Stop,
-            "came" => Event::Came { conn: sess()? },
+            "came" => return Ok(range(at(1)?)?.map(|conn| Event::Came { conn }).collect()),
             "odd" => Event::Odd { conn: sess()? },
             "ping" => Event::Ping { conn: sess()? },
             "gone" => Event::Gone { sess: sess()? },
@@ -150,11 +150,9 @@
             "load" => Event::Load { sess: sess()?, load: num(at(2)?)? },
             "took" => Event::Took { sess: sess()?, time: millis(at(2)?)? },
             "probe" => {
-                let value = |key| option(words, key).map(num).transpose();
-                let report = Some(Report { load: value("load")?, piled: value("piled")? });
                 let server = *self.probed.get(at(1)?).ok_or("no probe is out there")?;
-                let end = if at(2)?.contains('=') { "ok" } else { at(2)? };
-                Event::Probed { server, end: dial_end(end)?, report }
+                let (end, report) = probe_end(words, at(2)?)?;
+                Event::Probed { server, end, report }
             }
             "list" if at(1)? == "broken" => Event::ListBroken { watch },
             "list" => {
@@ -180,7 +178,7 @@
                 Event::Reload(Box::new(node(&text)?))
             }
             other => return Err(format!("unknown input '{other}'")),
-        }))
+        }])
     }
 }
 
@@ -211,7 +209,7 @@
             }
             "said" => self.said.push(format!("{:?}", lines::said(words[1..].join(" ").as_bytes(), order))),
             "node" => {
-                let mut text = text("127.0.0.1:1", "127.0.0.1:2", &self.known);
+                let mut text = self.text("127.0.0.1:2");
                 let (key, path) = words[1..].split_last().ok_or("which key?")?;
                 let place = path.iter().fold(&mut text, |at, key| &mut at[*key]);
                 place.as_object_mut().ok_or("no such place")?.remove(*key);
@@ -225,16 +223,7 @@
                     self.alarms.remove(&key);
                     self.step(key.0, Event::Alarm(alarm));
                 }
-                let (first, last) = words.get(1).and_then(|w| w.split_once("..")).unwrap_or(("0", "0"));
-                for one in num::<u32>(first)?..=num(last)? {
-                    let (one, mut words) = (one.to_string(), words.to_vec());
-                    if last != "0" {
-                        words[1] = &one;
-                    }
-                    if let Some(event) = self.event(&words)? {
-                        self.step(now, event);
-                    }
-                }
+                self.events(words)?.into_iter().for_each(|event| self.step(now, event));
             }
         }
         Ok(())
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -104,8 +104,16 @@
     Result::Ok(ends[place])
 }
 
+/// How a probe ended: a word for it, or the figures of its answer.
+pub fn probe_end(words: &[&str], how: &str) -> Result<(DialEnd, Option<Report>), Fault> {
+    let value = |key| option(words, key).map(num).transpose();
+    let report = Report { load: value("load")?, piled: value("piled")? };
+    let end = if how.contains('=') { DialEnd::Ok } else { dial_end(how)? };
+    Ok((end, Some(report)))
+}
+
 /// `7` or `7..9`, both ends included.
-fn range(word: &str) -> Result<std::ops::RangeInclusive<u32>, Fault> {
+pub fn range(word: &str) -> Result<std::ops::RangeInclusive<u32>, Fault> {
     let (from, to) = word.split_once("..").unwrap_or((word, word));
     Ok(num(from)?..=num(to)?)
 }
@@ -140,10 +148,8 @@
         }),
         "alarm" => Ok(vec![Input::Alarm { label: num(at(1)?)? }]),
         "probe" => {
-            let value = |key| option(words, key).map(num).transpose();
-            let report = Report { load: value("load")?, piled: value("piled")? };
-            let end = if at(2)?.contains('=') { DialEnd::Ok } else { dial_end(at(2)?)? };
-            each(&|server| Ok(Input::Probed { server, end, report: Some(report) }))
+            let (end, report) = probe_end(words, at(2)?)?;
+            each(&|server| Ok(Input::Probed { server, end, report }))
         }
         other => Err(format!("unknown input '{other}'")),
     }
