--- a/relay/src/reducer.rs
+++ b/relay/src/reducer.rs
@@ -202,7 +202,7 @@
 struct Watch {
     last: u32,
     out: bool,
-    /// The one that spoke last, or that was out before a new one was asked for: kept until the new one speaks.
+    /// The one that spoke last, or was out before a new one was asked for: kept until the new one speaks.
     before: Option<u32>,
 }
 
