A cold server's turn is room past the thresholds, and old answers refuse nobody

Lines at fault in src/logic.rs: weigh refuses before it looks at the pool, so a turn at a cold server lies unused; a refused session asks nobody, and beat() sends nothing until 18 probes are saved up, so a relay of two sessions goes on refusing by what it heard long ago; gauge() reads one session's part of a server from its own n times the relays, which at n = 0 ends at the clamp of 0.05 and makes the cold pause five times too long.

Change: past the thresholds the pool is the cold servers with room whose turn it is; with answers older than 2 s in the mean a session first waits for new ones, where they are paid for; one session's part is what servers say they hold, where they say it; a server unheard since its start counts as filled as far as it warmed.

--- a/config/src/facts.rs
+++ b/config/src/facts.rs
@@ -24,6 +24,7 @@
 pub struct ReportOrder {
     pub load: Option<usize>,
     pub piled: Option<usize>,
+    pub held: Option<usize>,
     /// Whether `load` is the part of the cores in use, which sites without a better figure report.
     pub by_cores: bool,
 }
@@ -33,13 +34,14 @@
 impl ReportOrder {
     pub fn pick(self, raw: RawReport) -> Report {
         let at = |i: Option<usize>| i.and_then(|i| raw[i]);
-        Report { load: at(self.load), piled: at(self.piled) }
+        Report { load: at(self.load), piled: at(self.piled), held: at(self.held) }
     }
 
     /// From names and values, as reports stand in lines of text.
     pub fn find(self, value: impl Fn(&str) -> Option<f64>) -> Report {
         let load = self.load.and_then(|_| value(if self.by_cores { "util" } else { "x0" }));
-        Report { load, piled: self.piled.and_then(|_| value("x1")) }
+        let held = self.held.and_then(|_| value("inflight"));
+        Report { load, piled: self.piled.and_then(|_| value("x1")), held }
     }
 }
 
@@ -77,7 +79,8 @@
     let fields = report.key("Fields")?.list()?;
     let place = |name: &str| fields.iter().take(4).position(|at| at.value.as_str() == Some(name));
     let (asked, cores) = (place("x0"), place("cpu_share"));
-    let order = ReportOrder { load: asked.or(cores), piled: place("x1"), by_cores: asked.is_none() };
+    let (piled, held) = (place("x1"), place("busy_reqs"));
+    let order = ReportOrder { load: asked.or(cores), piled, held, by_cores: asked.is_none() };
     let must_watch = top.key("Discovery")?.word(&[("automatic", false), ("subscribe", true)])?;
     let facts = SiteFacts {
         listeners: listeners.iter().enumerate().map(listener).collect::<Result<_, _>>()?,
--- a/emulator/src/fleet.rs
+++ b/emulator/src/fleet.rs
@@ -137,7 +137,7 @@
 
 impl Figures {
     pub fn report(self) -> Report {
-        Report { load: Some(self.load), piled: Some(self.piled) }
+        Report { load: Some(self.load), piled: Some(self.piled), held: Some(f64::from(self.inflight)) }
     }
 }
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -53,6 +53,7 @@
     entry: Entry,
     load: f64,
     piled: f64,
+    held: f64, // sessions of all relays there; 0 where this is not told
     heard: Option<Micros>,
     delay: (f64, Micros), // seconds that a message took there, and when this was told
     misses: u32,          // probes and connects in a row without an answer
@@ -90,6 +91,7 @@
     mean: f64,
     step: f64,
     alike: f64,
+    age: Micros, // of the answers, in the mean
     until: Micros,
 }
 
@@ -254,8 +256,13 @@
         let known = matches!(repeat, Repeat::Repeatable | Repeat::Referenced { within: Within::All, .. });
         let give_up = if known || s.ran.is_none() { Shut } else { Stuck };
         let over = self.now >= s.due || s.dials >= self.site.most_dials;
-        let shut = over || (s.dials == 0 && !self.admits(&s.asked, &g));
-        let pool = if shut { vec![] } else { self.pool(s, &g) };
+        let shut = s.dials == 0 && !self.admits(&s.asked, &g);
+        // Guards relays of few sessions, which would refuse by the answers of long ago, and ask for none.
+        let stale = g.age > 2 * LAG && self.now < s.wait_until;
+        let pool = match (over, shut && !stale) {
+            (true, _) => vec![],
+            (_, only_turns) => self.pool(s, &g, only_turns),
+        };
         // A wait for answers younger than the last change, where probes are paid for.
         let asks = |v: &Server| v.misses == 0 && v.heard.is_none_or(|t| self.now - t > LAG);
         let paid = |v: &Server| self.site.may_probe && (v.awaited || self.credit >= 1.0);
@@ -265,6 +272,7 @@
             self.sessions.entry(sess).and_modify(|s| s.waits = waits);
             return Wait;
         }
+        let pool = if shut && stale && !over { self.pool(s, &g, true) } else { pool };
         let costs = pool.iter().enumerate().map(|(i, id)| {
             let v = &self.servers[id];
             (self.tier(v, &s.tried), self.cost(v, s, self.load_now(v, &g), i, 0), *id)
@@ -296,12 +304,13 @@
     /// Read from the servers with fresh answers, as a sample of all that are ready and not silent.
     fn gauge(&mut self) -> Gauge {
         const USABLE: f64 = 0.85; // how C is read: what fills before messages are late; tried 0.7, 0.85, 1
+        const PRIOR: f64 = 8.0; // sessions that the last figure counts for, beside those that servers hold
         const ROOM: f64 = 0.6; // a load that leaves the others room for a late one's; always and never tried
                                // Read again with each answer; in between, what is let in is booked at once.
         if self.now < self.gauge.until {
             return self.gauge;
         }
-        let (mut all, mut sums) = (0.0, [0.0; 6]);
+        let (mut all, mut held, mut sums) = (0.0, 0.0, [0.0; 6]);
         for v in self.servers.values().filter(|v| v.entry.ready() && v.misses == 0) {
             let warmth = self.warmth(v);
             all += warmth;
@@ -310,6 +319,7 @@
                 let full = (v.load + self.piled(v)).min(1.0);
                 let one = [1.0, full, v.load, f64::from(cong), age as f64, full * f64::from(cong)];
                 sums.iter_mut().zip(one).for_each(|(sum, x)| *sum += x * warmth);
+                held += v.held;
             }
         }
         let [k, load, asked, cong, age, late] = sums;
@@ -321,12 +331,17 @@
         let mut g = Gauge { until: self.now + SECOND / 4, step: self.gauge.step, alike, ..Gauge::default() };
         if k > 0.0 {
             (g.c, g.mean, g.x_cong) = (USABLE * all, load / k, cong / k * all);
-            // A running mean over some seconds: in dial storms or on emptied servers a moment's is useless.
+            g.age = (age / k) as Micros;
+            // Guards relays of few sessions each, whose own are a useless sample: servers tell what they hold.
+            // Else a running mean over some seconds: in dial storms or on emptied servers a moment's is useless.
             let open = f64::from(self.n) * f64::from(self.site.relays);
             let step = (asked / k * all / open.max(1.0)).clamp(0.002, 0.05);
-            g.step += (step - g.step) * if self.gauge.c > 0.0 { 0.08 } else { 1.0 };
+            g.step = match held > 0.0 {
+                true => ((asked + PRIOR * g.step) / (held + PRIOR)).clamp(0.002, 0.05),
+                false => g.step + (step - g.step) * if self.gauge.c > 0.0 { 0.08 } else { 1.0 },
+            };
             // What was let in since the answers counts too, or a thaw lets all who wait in at once.
-            let since = self.net.sum(self.now, (age / k) as Micros + LAG);
+            let since = self.net.sum(self.now, g.age + LAG);
             g.x_busy = (g.mean * all + since * alike * g.step).max(0.0);
         }
         self.gauge = g;
@@ -343,19 +358,25 @@
     fn load_now(&self, v: &Server, g: &Gauge) -> f64 {
         // On one server all do alike still less: no more than four, tried 2 and 8.
         let since = v.flow.net.sum(self.now, v.heard.map_or(0, |t| self.now - t) + LAG);
-        let base = v.heard.map_or(g.mean, |_| v.load) + self.piled(v) + g.step * since * g.alike.min(4.0);
+        // Unheard since its start, it has filled as it warmed, at most.
+        let base = v.heard.map_or(g.mean * self.warmth(v), |_| v.load)
+            + self.piled(v)
+            + g.step * since * g.alike.min(4.0);
         base.max(f64::from(self.piled(v) > self.bar)) // where messages are late all is taken
     }
 
     /// The servers that a session may go to, best first: by tier, then whether they are full or across a
     /// priced crossing, then by a hash of group and server, which all relays share without a word.
-    fn pool(&self, s: &Sess, g: &Gauge) -> Vec<ServerId> {
+    /// Past the thresholds, only those that have just started and have room, where it is this relay's turn:
+    /// that is room of its own, which others can't use, and a turn not taken is lost to the fleet.
+    fn pool(&self, s: &Sess, g: &Gauge, only_turns: bool) -> Vec<ServerId> {
         let mut best = Least::new(POOL);
         for v in self.servers.values().filter(|v| v.entry.ready()) {
             let crossing = v.entry.zone != self.site.zone && self.site.price_crossing > 0.0;
             let hash = mix(s.salt ^ (u64::from(v.entry.server) << 32));
             // Most servers rank too low at their best, and cost no more than that.
-            let may = || self.legal(s, &v.entry) && self.cold_open(v, g);
+            let turn = || self.warmth(v) < 1.0 && self.tier(v, &s.tried) == 0 && self.load_now(v, g) < FULL;
+            let may = || self.legal(s, &v.entry) && self.cold_open(v, g) && (!only_turns || turn());
             if best.takes(&(0, false, crossing, hash, v.entry.server)) && may() {
                 let full = self.load_now(v, g) >= FULL;
                 best.add((self.tier(v, &s.tried), full, crossing, hash, v.entry.server));
@@ -568,7 +589,7 @@
     /// What a session would lose less where its pool would place it now than where it is.
     fn gain(&self, sess: SessId, load: f64, g: &Gauge) -> f64 {
         let s = &self.sessions[&sess];
-        let pool = self.pool(s, g);
+        let pool = self.pool(s, g, false);
         let place = pool.iter().position(|id| *id == s.server).unwrap_or(POOL);
         let here = self.cost(&self.servers[&s.server], s, load.min(1.2), place, 1);
         let costs = pool.into_iter().enumerate().filter_map(|(i, id)| {
@@ -583,8 +604,9 @@
 
 impl Server {
     fn hear(&mut self, now: Micros, report: Option<Report>) {
-        if let Some(Report { load: Some(load), piled }) = report {
+        if let Some(Report { load: Some(load), piled, held }) = report {
             (self.heard, self.load, self.piled) = (Some(now), load, piled.unwrap_or(0.0));
+            self.held = held.unwrap_or(0.0);
         }
     }
 }
--- a/src/types.rs
+++ b/src/types.rs
@@ -62,6 +62,8 @@
     pub load: Option<f64>,
     /// Work piled up, in seconds.
     pub piled: Option<f64>,
+    /// Sessions that the server holds, of all relays.
+    pub held: Option<f64>,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -107,7 +107,7 @@
 /// How a probe ended: a word for it, or the figures of its answer.
 pub fn probe_end(words: &[&str], how: &str) -> Result<(DialEnd, Option<Report>), Fault> {
     let value = |key| option(words, key).map(num).transpose();
-    let report = Report { load: value("load")?, piled: value("piled")? };
+    let report = Report { load: value("load")?, piled: value("piled")?, held: value("held")? };
     let end = if how.contains('=') { DialEnd::Ok } else { dial_end(how)? };
     Ok((end, Some(report)))
 }
