A server known by a late message alone is no sample of the servers never heard

The relay with its one session there had heard none of 7 servers, and read busy 7.0 and congested 7.0 of 7: src/logic.rs, gauge(), took the late server, known by a message of its own session, for a sample of all, so the others counted as full, no move gained anything, and new sessions were turned away. Change: such a server counts in x_busy and x_cong for itself alone; with nothing heard nothing is tested.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -310,11 +310,14 @@
         if self.now < self.gauge.until {
             return self.gauge;
         }
-        let (mut all, mut held, mut sums) = (0.0, 0.0, [0.0; 6]);
+        let (mut all, mut own, mut held, mut sums) = (0.0, 0.0, 0.0, [0.0; 6]);
         for v in self.servers.values().filter(|v| v.entry.ready() && v.misses == 0) {
             let warmth = self.warmth(v);
             all += warmth;
-            if v.heard.is_some() || self.piled(v) > self.bar {
+            // Guards relays of few sessions: a server known by a late message alone is no sample of the others.
+            if v.heard.is_none() {
+                own += warmth * f64::from(self.piled(v) > self.bar);
+            } else {
                 let (age, cong) = (self.now - v.heard.unwrap_or(self.now), self.tier(v, &[]) > 0);
                 let full = (v.load + self.piled(v)).min(1.0);
                 let one = [1.0, full, v.load, f64::from(cong), age as f64, full * f64::from(cong)];
@@ -330,7 +333,7 @@
         let alike = f64::from(self.site.relays) * f64::from(self.n) / (f64::from(self.n) + 8.0);
         let mut g = Gauge { until: self.now + SECOND / 4, step: self.gauge.step, alike, ..Gauge::default() };
         if k > 0.0 {
-            (g.c, g.mean, g.x_cong) = (USABLE * all, load / k, cong / k * all);
+            (g.c, g.mean, g.x_cong) = (USABLE * all, load / k, cong / k * (all - own) + own);
             g.age = (age / k) as Micros;
             // Guards relays of few sessions each, whose own are a useless sample: servers tell what they hold.
             // Else a running mean over some seconds: in dial storms or on emptied servers a moment's is useless.
@@ -342,7 +345,7 @@
             };
             // What was let in since the answers counts too, or a thaw lets all who wait in at once.
             let since = self.net.sum(self.now, g.age + LAG);
-            g.x_busy = (g.mean * all + since * alike * g.step).max(0.0);
+            g.x_busy = (g.mean * (all - own) + own + since * alike * g.step).max(0.0);
         }
         self.gauge = g;
         g
