Small fleets decide as before: rare turns past thresholds, told counts for few sessions

At fault: src/logic.rs, gauge(), which read the told count where own sessions are the steadier figure, and pool(), which let sessions past the thresholds where turns come every second. Change: told counts below 16 own sessions, turns past the thresholds where they are over 4 s apart.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -304,6 +304,7 @@
     /// Read from the servers with fresh answers, as a sample of all that are ready and not silent.
     fn gauge(&mut self) -> Gauge {
         const USABLE: f64 = 0.85; // how C is read: what fills before messages are late; tried 0.7, 0.85, 1
+        const FEW: u32 = 16; // own sessions, of which chance is a quarter; with more theirs are the steadier figure
         const PRIOR: f64 = 8.0; // sessions that the last figure counts for, beside those that servers hold
         const ROOM: f64 = 0.6; // a load that leaves the others room for a late one's; always and never tried
                                // Read again with each answer; in between, what is let in is booked at once.
@@ -339,7 +340,7 @@
             // Else a running mean over some seconds: in dial storms or on emptied servers a moment's is useless.
             let open = f64::from(self.n) * f64::from(self.site.relays);
             let step = (asked / k * all / open.max(1.0)).clamp(0.002, 0.05);
-            g.step = match held > 0.0 {
+            g.step = match held > 0.0 && self.n < FEW {
                 true => ((asked + PRIOR * g.step) / (held + PRIOR)).clamp(0.002, 0.05),
                 false => g.step + (step - g.step) * if self.gauge.c > 0.0 { 0.08 } else { 1.0 },
             };
@@ -378,7 +379,9 @@
             let crossing = v.entry.zone != self.site.zone && self.site.price_crossing > 0.0;
             let hash = mix(s.salt ^ (u64::from(v.entry.server) << 32));
             // Most servers rank too low at their best, and cost no more than that.
-            let turn = || self.warmth(v) < 1.0 && self.tier(v, &s.tried) == 0 && self.load_now(v, g) < FULL;
+            // Where turns come every second or two a threshold costs one at most, and they decide as ever.
+            let seldom = || self.warmth(v) < 1.0 && self.pause(v, g) > (4 * LAG) as f64;
+            let turn = || seldom() && self.tier(v, &s.tried) == 0 && self.load_now(v, g) < FULL;
             let may = || self.legal(s, &v.entry) && self.cold_open(v, g) && (!only_turns || turn());
             if best.takes(&(0, false, crossing, hash, v.entry.server)) && may() {
                 let full = self.load_now(v, g) >= FULL;
@@ -432,7 +435,11 @@
 
     /// Rule 4: whether this relay's part of a cold server's budget has room again.
     fn cold_open(&self, v: &Server, g: &Gauge) -> bool {
-        let warmth = self.warmth(v);
+        self.warmth(v) >= 1.0 || (self.now - v.turn.0) as f64 >= v.turn.1 * self.pause(v, g)
+    }
+
+    /// The time from one of this relay's turns at a cold server to the next.
+    fn pause(&self, v: &Server, g: &Gauge) -> f64 {
         // What a server holds when full, taken in over a whole warm-up, is shared by the relays. Few have a
         // session for it just then, the fewer the more share it: with 1.4 for one relay hunts for broken rules
         // met at most two thirds of the limit, and with 4 for a hundred the most that came in two seconds was
@@ -440,7 +447,7 @@
         let others = f64::from(self.site.relays - 1);
         let overbook = 1.4 + 3.6 * others / (others + 40.0);
         let each = self.site.cold as f64 * g.step * f64::from(self.site.relays) / overbook;
-        warmth >= 1.0 || (self.now - v.turn.0) as f64 >= v.turn.1 * each / (self.site.fall_multiple * warmth)
+        each / (self.site.fall_multiple * self.warmth(v))
     }
 
     fn dial(&mut self, sess: SessId, out: &mut Vec<Effect>) {
