A second address for operators: readiness, figures, drain and activate

Change: operator and NODE_OPERATOR in config/; net/operator.rs answers by hyper's server, one call a connection, 16 places of its own, a queue that is read before sessions' events. reducer/duty.rs is one table for drain, activate and SIGTERM; reducer/figures.rs counts each session in one outcome, checked by the scenarios' runner after every step. Module: avoids() reads what placement shuns.

Moves at a stop are now spread by thousandths of a session, not one a tick at least: half as early.

--- a/config/src/limits.rs
+++ b/config/src/limits.rs
@@ -48,6 +48,15 @@
     pub stop_end: Micros,
     pub stop_least: Micros,
     pub standing: Micros,
+    /// Operators' connections at once, the time in which a call must be whole, and bytes of its head and body.
+    pub callers: usize,
+    pub call: Micros,
+    pub call_head: usize,
+    pub call_body: usize,
+    /// From when on a drain moves sessions, by when all are, and till when new ones are still taken.
+    pub drain_from: Micros,
+    pub drain_by: Micros,
+    pub drain_takes: Micros,
 }
 
 const MS: Micros = 1000;
@@ -57,11 +66,14 @@
     const OWN_SOCKETS: usize = 24;
     /// Kept probe connections may take this part of all descriptors.
     const PROBE_PART: usize = 16;
+    /// Operators' connections: some who call each second, beside some who hold one and say nothing.
+    const CALLERS: usize = 16;
 
-    pub fn new(site: &Site, sockets: usize) -> Result<Limits, String> {
-        let left = sockets.saturating_sub(Self::OWN_SOCKETS + sockets / Self::PROBE_PART);
+    pub fn new(site: &Site, sockets: usize, operator: bool) -> Result<Limits, String> {
+        let own = Self::OWN_SOCKETS + usize::from(operator) * (Self::CALLERS + 2);
+        let left = sockets.saturating_sub(own + sockets / Self::PROBE_PART);
         if left < 4 {
-            return Err(format!("limits.sockets is {sockets}, wanted {} at least", Self::OWN_SOCKETS * 2));
+            return Err(format!("limits.sockets is {sockets}, wanted {} at least", own * 2));
         }
         let longest = site.dial_timeouts.iter().copied().max().unwrap_or(0);
         // Two watch calls fit into the time that a relay may go unasked.
@@ -109,6 +121,16 @@
             stop_end: (longest + 550 * MS).max(1000 * MS),
             stop_least: 1000 * MS,
             standing: 40_000 * MS,
+            callers: Self::CALLERS,
+            // A call is one small packet; answers are owed within a second.
+            call: 2_000 * MS,
+            // The least that hyper allows.
+            call_head: 8192,
+            call_body: 4096,
+            // The front sends for 0.3 s more, and at 4 s nobody may be left; the last moved need time to leave.
+            drain_from: 500 * MS,
+            drain_by: 3_300 * MS,
+            drain_takes: 1_000 * MS,
         })
     }
 }
--- a/config/src/node.rs
+++ b/config/src/node.rs
@@ -11,6 +11,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where operators' calls come; none where nobody calls.
+    pub operator: Option<SocketAddr>,
     pub seed: u64,
     pub site: Site,
     pub known: List,
@@ -23,6 +25,7 @@
     pub name: Option<String>,
     pub listen: Option<String>,
     pub discovery: Option<String>,
+    pub operator: Option<String>,
 }
 
 impl Told {
@@ -39,6 +42,7 @@
         let keys = [
             ("name", self.name != later.name),
             ("listen", self.listen != later.listen),
+            ("operator", self.operator != later.operator),
             ("limits", self.limits != later.limits),
             ("settings", self.site != later.site),
         ];
@@ -55,10 +59,15 @@
     let said = |key: &str, told: &Option<String>| -> Result<String, String> {
         told.clone().map_or_else(|| Ok(top.key(key)?.text()?.to_string()), Ok)
     };
-    let addr = |key: &str, told: &Option<String>| -> Result<SocketAddr, String> {
-        let text = said(key, told)?;
+    let place = |key: &str, text: &str| -> Result<SocketAddr, String> {
         text.parse().map_err(|_| format!("{key} is \"{text}\", wanted an address with a port"))
     };
+    let addr = |key: &str, told: &Option<String>| place(key, &said(key, told)?);
+    let operator = match (&told.operator, top.option("operator")) {
+        (Some(text), _) => Some(place("operator", text)?),
+        (None, Some(at)) => Some(place("operator", at.text()?)?),
+        (None, None) => None,
+    };
     let seed = |at: At| -> Result<u64, String> {
         let text = at.text()?;
         u64::from_str_radix(text, 16).or_else(|_| at.wrong("16 hexadecimal digits"))
@@ -66,13 +75,14 @@
     let sockets = top.option("limits").and_then(|at| at.option("sockets"));
     let sockets = sockets.map_or(Ok(SOCKETS), |at| at.small())?;
     let mut site = facts::decode(&top.key("settings")?)?;
-    let limits = Limits::new(&site, sockets)?;
+    let limits = Limits::new(&site, sockets, operator.is_some())?;
     // C_ID of the design: no more sessions than this machine has descriptors for.
     site.facts.max_open = site.facts.max_open.min(limits.sessions);
     Ok(Node {
         name: said("name", &told.name)?,
         listen: addr("listen", &told.listen)?,
         discovery: addr("discovery", &told.discovery)?,
+        operator,
         seed: seed(top.key("seed")?)?,
         known: top.option("known").map_or(Ok(List::default()), |at| list::decode(&at))?,
         site,
--- a/lab/src/virt.rs
+++ b/lab/src/virt.rs
@@ -602,7 +602,8 @@
                 }
                 Effect::Unwatch { watch } => self.relays[relay].watches.retain(|w| w.id != watch),
                 Effect::Exit => self.exits(relay),
-                Effect::Pong { .. } | Effect::Forget { .. } | Effect::Kept { .. } => {}
+                Effect::Pong { .. } | Effect::Deny { .. } | Effect::Reply { .. } => {}
+                Effect::Forget { .. } | Effect::Kept { .. } => {}
             }
         }
     }
--- a/relay/src/cli.rs
+++ b/relay/src/cli.rs
@@ -46,11 +46,19 @@
     /// Where discovery listens, in place of the configuration's.
     #[arg(long, env = "NODE_DISCOVERY")]
     discovery: Option<String>,
+    /// Where operators' calls come, in place of the configuration's.
+    #[arg(long, env = "NODE_OPERATOR")]
+    operator: Option<String>,
 }
 
 impl Given {
     fn told(&self) -> Told {
-        Told { name: self.name.clone(), listen: self.listen.clone(), discovery: self.discovery.clone() }
+        Told {
+            name: self.name.clone(),
+            listen: self.listen.clone(),
+            discovery: self.discovery.clone(),
+            operator: self.operator.clone(),
+        }
     }
 
     fn read(&self, told: &Told) -> Result<Node, String> {
@@ -68,6 +76,10 @@
             let node = given.read(&given.told())?;
             let (site, known) = (&node.site, &node.known);
             println!("{} on {}, discovery at {}", node.name, node.listen, node.discovery);
+            match node.operator {
+                Some(place) => println!("operators call at {place}"),
+                None => println!("operators have nowhere to call: operator is not given"),
+            }
             println!("listeners {:?}, zones {:?}", site.listeners, site.zones);
             println!("{} backends known, list version {}", known.instances.len(), known.generation);
             println!("{:#?}", node.limits);
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -2,6 +2,7 @@
 pub mod buffer;
 pub mod cli;
 pub mod clock;
+pub mod figures;
 pub mod lines;
 pub mod net;
 pub mod reducer;
--- a/relay/src/lines.rs
+++ b/relay/src/lines.rs
@@ -10,6 +10,7 @@
 pub const END: &[u8] = b"\r\n";
 pub const MOVE: &[u8] = b"MOVE\r\n";
 pub const PONG: &[u8] = b"PONG\r\n";
+pub const DENIED: &[u8] = b"BUSY\r\n";
 pub const FAIL: &[u8] = b"FAIL\r\n";
 pub const ERROR: &[u8] = b"ERR\r\n";
 pub const STATS: &[u8] = b"STATS\r\n";
--- a/relay/src/net/admit.rs
+++ b/relay/src/net/admit.rs
@@ -31,7 +31,7 @@
             Some(Command::Dial { dial, addr, wait }) => {
                 let line = lines::onward(&asked.line, &asked.wait_at, wait / 1000);
                 let ended = tokio::select! {
-                    ended = dial::run(addr, &line, wait, hub) => ended,
+                    ended = dial::run(conn, addr, &line, wait, hub) => ended,
                     // Leaving this drops the dial, which gives it up.
                     more = stirs(&client, &mut buffer) => {
                         return stirred(more, conn, client, commands, hub).await;
@@ -87,7 +87,7 @@
         match command {
             Command::Answer(line) => return end::answer(client, &line, &mut commands, hub).await,
             // What was on its way before is moot.
-            Command::Dial { .. } | Command::Pong | Command::Shed | Command::Doubt(_) => {}
+            Command::Dial { .. } | Command::Pong(_) | Command::Shed | Command::Doubt(_) => {}
             Command::Pass | Command::Move | Command::Close => return,
         }
     }
--- a/relay/src/net/first_line.rs
+++ b/relay/src/net/first_line.rs
@@ -49,8 +49,8 @@
                     None => return end::at_once(client, &lines::busy(0)),
                 }
             }
-            Next::Told(Some(Command::Pong)) => {
-                if !end::write(&client, lines::PONG, limits.end).await {
+            Next::Told(Some(Command::Pong(line))) => {
+                if !end::write(&client, line, limits.end).await {
                     return;
                 }
                 continue;
--- a/relay/src/net/mod.rs
+++ b/relay/src/net/mod.rs
@@ -6,6 +6,7 @@
 mod discovery;
 mod end;
 mod first_line;
+mod operator;
 mod pass;
 mod probe;
 mod read;
@@ -26,7 +27,8 @@
 /// What the reducer asks of one connection's task.
 #[derive(Debug)]
 enum Command {
-    Pong,
+    /// What a `PING` is answered with.
+    Pong(&'static [u8]),
     Dial {
         dial: u32,
         addr: SocketAddr,
--- a/relay/src/net/serve.rs
+++ b/relay/src/net/serve.rs
@@ -1,16 +1,16 @@
 //! Runs the relay: events go to the reducer in order of arrival, its effects to the tasks.
-use super::{accept, discovery, probe, stop, Command, Hub};
+use super::{accept, discovery, operator, probe, stop, Command, Hub};
 use crate::clock::Clock;
 use crate::lines;
-use crate::reducer::{Alarm, Effect, Event, Reducer};
+use crate::reducer::{Alarm, Call, Effect, Event, Reducer, Reply};
 use hallrelay::types::{Micros, ServerId};
 use hallrelay_config::node::Node;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::net::TcpSocket;
-use tokio::sync::mpsc;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
 use tokio::time::sleep_until;
 
@@ -22,6 +22,8 @@
     asked: u64,
     probes: BTreeMap<ServerId, mpsc::Sender<SocketAddr>>,
     watches: BTreeMap<u32, AbortHandle>,
+    /// Operators' calls that are not yet answered.
+    calls: BTreeMap<u32, oneshot::Sender<Reply>>,
     exit: bool,
 }
 
@@ -48,10 +50,12 @@
     };
     // A wave of clients that return at once waits here, and not for its own next try.
     const BACKLOG: u32 = 1024;
-    let socket = if node.listen.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    socket.set_reuseaddr(true)?;
-    socket.bind(node.listen)?;
-    let listener = socket.listen(BACKLOG)?;
+    let listener = listen(node.listen, BACKLOG)?;
+    let (to_calls, mut calls) = mpsc::channel(limits.callers);
+    if let Some(place) = node.operator {
+        let listener = listen(place, limits.callers as u32)?;
+        tokio::task::spawn_local(operator::run(listener, to_calls.clone(), hub.clone()));
+    }
     slog::info!(log, "serving"; "name" => &node.name, "listen" => %node.listen, "limits" => ?limits);
 
     let mut hands = Hands {
@@ -60,6 +64,7 @@
         asked: 0,
         probes: BTreeMap::new(),
         watches: BTreeMap::new(),
+        calls: BTreeMap::new(),
         exit: false,
     };
     let (mut reducer, mut effects) = (Reducer::new(node), Vec::new());
@@ -71,6 +76,8 @@
         let next = hands.alarms.first_key_value().map_or(Micros::MAX / 2, |((at, _), _)| *at);
         let event = tokio::select! {
             biased;
+            // Before all that waits from sessions: a crowd of these may not delay an operator.
+            Some((what, answer)) = calls.recv() => Some(hands.called(what, answer)),
             event = arrived.recv() => event,
             () = sleep_until(clock.at(next)) => None,
         };
@@ -89,7 +96,22 @@
     Ok(())
 }
 
+fn listen(place: SocketAddr, backlog: u32) -> std::io::Result<TcpListener> {
+    let named = |e: std::io::Error| std::io::Error::new(e.kind(), format!("{place}: {e}"));
+    let socket = if place.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(place).map_err(named)?;
+    socket.listen(backlog).map_err(named)
+}
+
 impl Hands {
+    fn called(&mut self, what: Call, answer: oneshot::Sender<Reply>) -> Event {
+        self.asked += 1;
+        let call = self.asked as u32;
+        self.calls.insert(call, answer);
+        Event::Called { call, what }
+    }
+
     fn due(&mut self, now: Micros) -> Option<Alarm> {
         let first = self.alarms.first_entry().filter(|first| first.key().0 <= now)?;
         Some(first.remove())
@@ -99,7 +121,12 @@
         for effect in effects.drain(..) {
             slog::trace!(self.hub.log, "effect"; "what" => ?effect);
             match effect {
-                Effect::Pong { conn } => self.hub.command(conn, Command::Pong),
+                Effect::Pong { conn } => self.hub.command(conn, Command::Pong(lines::PONG)),
+                Effect::Deny { conn } => self.hub.command(conn, Command::Pong(lines::DENIED)),
+                Effect::Reply { call, reply } => {
+                    // Who asked may be gone by now.
+                    _ = self.calls.remove(&call).map(|answer| answer.send(reply));
+                }
                 Effect::Dial { sess, dial, addr, wait } => {
                     self.hub.command(sess, Command::Dial { dial, addr, wait });
                 }
--- a/relay/src/net/stop.rs
+++ b/relay/src/net/stop.rs
@@ -30,7 +30,10 @@
                         slog::info!(hub.log, "the configuration is new"; "discovery" => %node.discovery);
                         hub.tell(Event::Reload(Box::new(node))).await;
                     }
-                    Err(what) => slog::error!(hub.log, "the new configuration is not used"; "why" => what),
+                    Err(what) => {
+                        slog::error!(hub.log, "the new configuration is not used"; "why" => what);
+                        hub.tell(Event::Unfit).await;
+                    }
                 }
                 continue;
             }
--- a/relay/src/reducer/mod.rs
+++ b/relay/src/reducer/mod.rs
@@ -1,17 +1,43 @@
 //! The one place where the relay's state changes: `step` takes an event and appends effects. It hands the
 //! decision module its inputs and turns its effects into reading, writing, dialling and timers, which tasks
 //! carry out. It reads no clock and no socket, and decides nothing that the module decides.
+mod duty;
+mod figures;
 mod servers;
 mod sessions;
 mod watch;
 
+pub use duty::Word;
+pub use figures::{Figures, Outcomes};
+
 use crate::lines::Open;
+use duty::{Duty, Sign};
 use hallrelay::logic::Relay;
 use hallrelay::types::{self as module, Asked, DialEnd, Input, Micros, Phase, Report, ServerId, SessId};
 use hallrelay_config::list::List;
 use hallrelay_config::node::Node;
 use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// What an operator may ask for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    Ready,
+    Figures,
+    Drain,
+    Activate,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    Yes(Word),
+    /// No, not now, with a word why.
+    No(Word),
+    /// What was asked for can't be, as things stand.
+    Conflict(Word),
+    Figures(Box<Figures>),
+}
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -37,6 +63,10 @@
     Gone {
         sess: SessId,
     },
+    /// A dial's line is written whole.
+    Written {
+        sess: SessId,
+    },
     Up {
         sess: SessId,
         dial: u32,
@@ -76,6 +106,13 @@
     },
     /// The configuration as it stands now, whole and checked.
     Reload(Box<Node>),
+    /// A configuration that is not used, since something in it is wrong.
+    Unfit,
+    /// An operator's call.
+    Called {
+        call: u32,
+        what: Call,
+    },
     Alarm(Alarm),
     Stop,
 }
@@ -87,8 +124,8 @@
     Due(SessId),
     /// A standing connection is dialled again.
     Again(SessId),
-    /// Sessions are moved while the relay stops.
-    Emptying,
+    /// Sessions are moved while the relay stops or drains; of the how-manieth time that it does so.
+    Emptying(u32),
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -96,6 +133,14 @@
     Pong {
         conn: SessId,
     },
+    /// A `PING` is told no.
+    Deny {
+        conn: SessId,
+    },
+    Reply {
+        call: u32,
+        reply: Reply,
+    },
     Dial {
         sess: SessId,
         dial: u32,
@@ -172,6 +217,8 @@
 
 struct Sess {
     id: u64,
+    /// The name of its listener, as it was when it came.
+    listener: Rc<str>,
     stage: Stage,
     server: Option<ServerId>,
     dials: u32,
@@ -225,7 +272,13 @@
     aside: VecDeque<SessId>,
     /// Connections that wait for a `PONG`.
     pings: Vec<SessId>,
-    stopping: Option<Micros>,
+    duty: Duty,
+    /// Since when, and the how-manieth it is.
+    since: Micros,
+    round: u32,
+    /// Thousandths of a session that are to be moved still.
+    owed: usize,
+    figures: Figures,
     asks: Vec<module::Effect>,
 }
 
@@ -233,6 +286,7 @@
     pub fn new(node: Node) -> Reducer {
         Reducer {
             module: Relay::new(node.site.facts.clone(), node.seed),
+            figures: Figures::of(&node.site.listeners),
             node,
             now: 0,
             sessions: BTreeMap::new(),
@@ -243,7 +297,10 @@
             watch: Watch::default(),
             aside: VecDeque::new(),
             pings: Vec::new(),
-            stopping: None,
+            duty: Duty::default(),
+            since: 0,
+            round: 0,
+            owed: 0,
             asks: Vec::new(),
         }
     }
@@ -274,6 +331,7 @@
                 self.aside.retain(|conn| *conn != sess);
                 self.pings.retain(|conn| *conn != sess);
             }
+            Event::Written { sess: _ } => self.figures.tries += 1,
             Event::Up { sess, dial } if self.current(sess, dial) => self.up(sess, dial, out),
             Event::DialEnded { sess, dial, end, report } if self.current(sess, dial) => {
                 self.dial_ended(sess, dial, end, report, out);
@@ -291,14 +349,17 @@
             }
             Event::List { watch, list } => self.heard(watch, list, out),
             Event::ListBroken { watch } => self.list_broken(watch, out),
-            Event::Reload(node) => self.reload(*node, out),
-            Event::Alarm(alarm) => self.alarm(alarm, out),
-            Event::Stop => {
-                if self.stopping.replace(now).is_none() {
-                    let after = self.node.limits.stop_from;
-                    out.push(Effect::Alarm { after, alarm: Alarm::Emptying });
-                }
+            Event::Reload(node) => {
+                self.figures.loads += 1;
+                self.reload(*node, out);
+            }
+            Event::Unfit => self.figures.load_errors += 1,
+            Event::Called { call, what } => {
+                let reply = self.called(what, out);
+                out.push(Effect::Reply { call, reply });
             }
+            Event::Alarm(alarm) => self.alarm(alarm, out),
+            Event::Stop => _ = self.turn(Sign::Stop, out),
             // Of a dial or a session that is over.
             Event::Up { .. } | Event::DialEnded { .. } | Event::Load { .. } | Event::Took { .. } => {}
         }
@@ -352,25 +413,8 @@
                     self.lapse(sess, out);
                 }
             }
-            Alarm::Emptying => self.empty(out),
-        }
-    }
-
-    /// Moves the open sessions bit by bit, so that the backends are not asked for all of them at once.
-    fn empty(&mut self, out: &mut Vec<Effect>) {
-        const TICK: Micros = 50_000;
-        let limits = self.node.limits;
-        let since = self.now - self.stopping.unwrap_or(self.now);
-        // Last lines go out before it leaves; who is no session is not waited for much longer than those.
-        let empty = self.sessions.is_empty() && (self.aside.is_empty() || since >= limits.stop_end);
-        if empty && since >= limits.stop_least {
-            return out.push(Effect::Exit);
+            Alarm::Emptying(round) if round == self.round => self.empty(out),
+            Alarm::Emptying(_) => {}
         }
-        let open: Vec<SessId> =
-            self.sessions.iter().filter(|(_, s)| s.stage == Stage::Pass).map(|(id, _)| *id).collect();
-        let ticks = limits.stop_by.saturating_sub(since) / TICK + 1;
-        let part = open.len().div_ceil(ticks as usize);
-        open.into_iter().take(part).for_each(|sess| self.move_on(sess, out));
-        out.push(Effect::Alarm { after: TICK, alarm: Alarm::Emptying });
     }
 }
--- a/relay/src/reducer/sessions.rs
+++ b/relay/src/reducer/sessions.rs
@@ -2,6 +2,7 @@
 use super::{Alarm, Delay, Effect, Reducer, Sess, Stage};
 use crate::lines::Open;
 use hallrelay::types::{Asked, DialEnd, Input, Micros, Report, SessId};
+use std::rc::Rc;
 
 impl Reducer {
     pub(super) fn current(&self, sess: SessId, dial: u32) -> bool {
@@ -30,7 +31,10 @@
 
     /// A session ends by its client's doing; the module knows it, unless it still waits to stand again.
     pub(super) fn left(&mut self, sess: SessId, out: &mut Vec<Effect>) {
-        if self.over(sess).is_some_and(|s| s.standing.is_none()) {
+        let Some(s) = self.over(sess) else { return };
+        let waited = matches!(s.stage, Stage::Admit | Stage::Dial);
+        self.figures.of_listener(&s.listener).abandoned += u64::from(waited);
+        if s.standing.is_none() {
             self.tell(Input::Left { sess }, out);
         }
     }
@@ -62,9 +66,23 @@
         let standing = open.at.is_some().then_some(asked);
         let left = if standing.is_some() { left.min(self.node.limits.standing) } else { asked.left };
         let due = self.now + left;
-        let s = Sess { id: open.id, stage: Stage::Admit, server: None, dials: 0, due, told: None, standing };
+        let name = Rc::from(open.listener.as_str());
+        let s = Sess {
+            id: open.id,
+            listener: name,
+            stage: Stage::Admit,
+            server: None,
+            dials: 0,
+            due,
+            told: None,
+            standing,
+        };
+        self.figures.of_listener(&s.listener).taken += 1;
         self.marks.insert(s.id);
         self.sessions.insert(sess, s);
+        if !self.takes() {
+            return self.refuse(sess, out);
+        }
         out.push(Effect::Alarm { after: left, alarm: Alarm::Due(sess) });
         match open.at {
             None => self.tell(Input::Asked { sess, asked }, out),
@@ -81,7 +99,12 @@
     /// The final answer, or none where the client's time is up: rule 1, for a relay that stood still.
     pub(super) fn answer(&mut self, sess: SessId, answer: Effect, out: &mut Vec<Effect>) {
         let Some(s) = self.over(sess) else { return };
+        let figures = self.figures.of_listener(&s.listener);
         let late = self.now > s.due + self.node.limits.answer_margin;
+        match answer {
+            Effect::Refuse { .. } if !late => figures.dropped += 1,
+            _ => figures.failed += 1,
+        }
         out.push(if late { Effect::Close { sess } } else { answer });
     }
 
@@ -111,6 +134,7 @@
             return self.lapse(sess, out);
         };
         s.stage = Stage::Pass;
+        self.figures.of_listener(&s.listener).passed += 1;
         out.push(Effect::Pass { sess });
         match (s.standing.take(), s.server) {
             (Some(asked), Some(server)) => {
@@ -140,6 +164,7 @@
         // Served to its end at once: its last line is its answer.
         let settled = end == DialEnd::Ok;
         if settled {
+            self.figures.of_listener(&s.listener).passed += 1;
             self.over(sess);
         }
         self.tell(Input::DialEnded { sess, dial, end, settled, report }, out);
--- a/relay/src/reducer/watch.rs
+++ b/relay/src/reducer/watch.rs
@@ -1,16 +1,10 @@
-//! The watch on the list: asked for, renewed, moved by a new configuration; and who waits for a list to answer `PING`.
+//! The watch on the list: asked for, renewed, moved by a new configuration.
 use super::{Effect, Reducer};
 use hallrelay::types::{Input, ListKind};
 use hallrelay_config::list::List;
 use hallrelay_config::node::Node;
 
 impl Reducer {
-    pub(super) fn pong(&mut self, out: &mut Vec<Effect>) {
-        if !self.servers.is_empty() && self.stopping.is_none() {
-            out.extend(self.pings.drain(..).map(|conn| Effect::Pong { conn }));
-        }
-    }
-
     pub(super) fn ask_list(&mut self, out: &mut Vec<Effect>) {
         if !self.watch.out {
             (self.watch.last, self.watch.out) = (self.watch.last + 1, true);
--- /dev/null
+++ b/relay/tests/common/mod.rs
@@ -0,0 +1,223 @@
+//! A relay's process on free ports of 127.0.0.1, with backends that take every session and echo its lines.
+//! Nothing outlives the test: processes are killed as they are dropped, and every wait is bounded.
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+/// How long is waited for what must come.
+pub const SOON: Duration = Duration::from_secs(10);
+
+static LAST_ID: AtomicU64 = AtomicU64::new(1);
+
+pub struct Site {
+    pub folder: PathBuf,
+    pub listen: SocketAddr,
+    pub text: Value,
+}
+
+impl Site {
+    pub fn new(name: &str) -> Site {
+        let folder = std::env::temp_dir().join(format!("hallrelay-{}-{name}", std::process::id()));
+        _ = std::fs::remove_dir_all(&folder);
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let listen = free();
+        let known: Vec<Value> = (0..2)
+            .map(|i| json!({"instanceId": format!("s-{i}"), "hostPort": backend().to_string(), "lifecycle": "up"}))
+            .collect();
+        let text = json!({"name": "n1", "listen": listen.to_string(), "discovery": free().to_string(),
+            "operator": free().to_string(), "seed": "07", "limits": {"sockets": 256},
+            "known": {"generation": 1, "reset": true, "instances": known},
+            "settings": {
+                "Listeners": [listener("low", 1.0, "retryable"), listener("once", 5.0, "fragile")],
+                "Ceilings": {"MayProbe": false, "MostDials": 4, "MaxOpen": 1000, "RetryAfter": false,
+                    "ConnectTimeout": 250},
+                "Rules": {"Cold": 10000, "ColdFrom": 0.2, "FallMultiple": 3, "DrainGrace": 250,
+                    "AskWithin": 10000},
+                "Charges": {"CrossZone": 0, "Moves": 0, "Probe": 0},
+                "FamilyInfo": {"Mode": "proxy", "Groups": false, "TellsDelay": false, "MessageAim": [60, 60]},
+                "Report": {"How": "on_probe", "Fields": ["inflight", "x0", "x1"]},
+                "Discovery": "subscribe", "FailureDomains": ["here"], "Zone": 0, "Instances": 1, "SlotNo": 0}});
+        Site { folder, listen, text }
+    }
+
+    /// Starts a relay with the text as it is now; it reads the same file again at SIGHUP.
+    pub fn start(&self) -> Relay {
+        let path = self.folder.join(format!("{}.json", LAST_ID.fetch_add(1, Ordering::Relaxed)));
+        std::fs::write(&path, self.text.to_string()).expect("a configuration");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_hallrelay"));
+        command.arg("serve").arg("--config").arg(&path).env("TMPDIR", &self.folder);
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null());
+        let place = |key: &str| self.text[key].as_str().and_then(|t| t.parse().ok()).expect("an address");
+        let child = command.spawn().expect("the relay starts");
+        Relay { child, path, operator: place("operator") }
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+pub fn listener(name: &str, utility: f64, kind: &str) -> Value {
+    json!({"Name": name, "Utility": utility, "Effect": kind, "Group": "all", "Window": 1000,
+        "HandshakeTarget": 300, "DialTimeout": 2000})
+}
+
+pub struct Relay {
+    pub child: Child,
+    pub path: PathBuf,
+    pub operator: SocketAddr,
+}
+
+impl Relay {
+    pub fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.child.id());
+        assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
+    }
+
+    /// A call's status and body; the bytes are sent as they are.
+    pub fn say(&self, text: &[u8]) -> (u16, String) {
+        let mut stream = TcpStream::connect(self.operator).expect("the second address listens");
+        stream.set_read_timeout(Some(SOON)).expect("a timeout");
+        _ = stream.write_all(text);
+        let mut bytes = Vec::new();
+        _ = stream.read_to_end(&mut bytes);
+        let answer = String::from_utf8_lossy(&bytes);
+        let status = answer.split(' ').nth(1).and_then(|word| word.parse().ok()).unwrap_or(0);
+        (status, answer.to_string())
+    }
+
+    pub fn call(&self, method: &str, path: &str) -> (u16, String) {
+        self.say(format!("{method} {path} HTTP/1.1\r\nhost: relay\r\n\r\n").as_bytes())
+    }
+
+    pub fn ready(&self) -> bool {
+        TcpStream::connect(self.operator).is_ok() && self.call("GET", "/v1/readyz").0 == 200
+    }
+
+    pub fn until_ready(&self) {
+        until("the relay is ready", || self.ready());
+    }
+
+    /// One figure, by its whole name; none where it is not told.
+    pub fn figure(&self, name: &str) -> Option<u64> {
+        let (_, text) = self.call("GET", "/v1/metrics");
+        let start = format!("node.{name}:");
+        let line = text.lines().find(|line| line.starts_with(&start))?;
+        line[start.len()..].split('|').next()?.parse().ok()
+    }
+
+    pub fn has_ended(&mut self) -> bool {
+        self.child.try_wait().expect("a child").is_some()
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        _ = self.child.kill();
+        _ = self.child.wait();
+    }
+}
+
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let started = Instant::now();
+    while !holds() {
+        assert!(started.elapsed() < SOON, "waited in vain: {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+pub fn free() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.local_addr().expect("its address")
+}
+
+/// A backend of its own thread.
+fn backend() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let place = listener.local_addr().expect("its address");
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            std::thread::spawn(move || serve(stream));
+        }
+    });
+    place
+}
+
+fn serve(mut stream: TcpStream) {
+    let mut lines = BufReader::new(stream.try_clone().expect("a handle"));
+    let mut line = String::new();
+    while matches!(lines.read_line(&mut line), Ok(1..)) {
+        let answer = match line.split(' ').next() {
+            Some("OPEN") => "UP r1\r\n".to_string(),
+            _ => line.clone(),
+        };
+        if stream.write_all(answer.as_bytes()).is_err() {
+            return;
+        }
+        line.clear();
+    }
+}
+
+/// A client's connection, line by line.
+pub struct Client(BufReader<TcpStream>);
+
+/// What a client saw of a connection that brought it no session.
+#[derive(Debug, PartialEq)]
+pub enum Miss {
+    Refused,
+    Reset,
+    Ended,
+    Said(String),
+}
+
+impl Client {
+    pub fn connect(place: SocketAddr) -> Result<Client, Miss> {
+        let stream = TcpStream::connect(place).map_err(|_| Miss::Refused)?;
+        stream.set_read_timeout(Some(SOON)).expect("a timeout");
+        stream.set_nodelay(true).expect("an option");
+        Ok(Client(BufReader::new(stream)))
+    }
+
+    pub fn say(&mut self, line: &str) {
+        _ = self.0.get_mut().write_all(format!("{line}\r\n").as_bytes());
+    }
+
+    pub fn hear(&mut self) -> Result<String, Miss> {
+        let mut line = String::new();
+        match self.0.read_line(&mut line) {
+            Ok(0) => Err(Miss::Ended),
+            Ok(_) => Ok(line.trim_end().to_string()),
+            Err(e) if e.kind() == ErrorKind::ConnectionReset => Err(Miss::Reset),
+            Err(e) => Err(Miss::Said(e.to_string())),
+        }
+    }
+
+    pub fn ping(place: SocketAddr) -> Result<String, Miss> {
+        let mut client = Client::connect(place)?;
+        client.say("PING");
+        client.hear()
+    }
+
+    /// A session that is up.
+    pub fn open(place: SocketAddr, listener: &str) -> Result<Client, Miss> {
+        let mut client = Client::connect(place)?;
+        let id = LAST_ID.fetch_add(1, Ordering::Relaxed);
+        client.say(&format!("OPEN {id:016x} {id:016x} c={listener},d=1900"));
+        match client.hear()?.as_str() {
+            "UP r1" => Ok(client),
+            other => Err(Miss::Said(other.to_string())),
+        }
+    }
+
+    /// Whether a line comes back from the backend.
+    pub fn echoes(&mut self) -> bool {
+        self.say("M 1");
+        self.hear() == Ok("M 1".to_string())
+    }
+}
--- /dev/null
+++ b/relay/tests/operations.rs
@@ -0,0 +1,102 @@
+//! What operators do with a running relay, with its process on loopback: each test is bounded to seconds.
+mod common;
+
+use common::{Client, Miss, Site, SOON};
+use std::io::Write;
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+#[test]
+fn the_second_address_answers_what_is_a_call_and_survives_what_is_none() {
+    let site = Site::new("calls");
+    let mut relay = site.start();
+    relay.until_ready();
+    assert_eq!(relay.call("GET", "/v1/nothing").0, 404);
+    let (status, answer) = relay.call("GET", "/v1/relay/drain");
+    assert_eq!(status, 405);
+    assert!(answer.to_lowercase().contains("allow: post"), "{answer}");
+    assert!(relay.call("POST", "/v1/readyz").1.to_lowercase().contains("allow: get"));
+    assert_eq!(relay.say(b"\x16\x03\x01 what\r\n\r\n").0, 400);
+    let long = format!("GET /v1/readyz HTTP/1.1\r\nx: {}\r\n\r\n", "x".repeat(20_000));
+    assert_eq!(relay.say(long.as_bytes()).0, 431);
+    let head = "POST /v1/relay/activate HTTP/1.1\r\nhost: relay\r\ncontent-length: 100000\r\n\r\n";
+    assert_eq!(relay.say(format!("{head}{}", "x".repeat(8000)).as_bytes()).0, 413);
+    // A call to a connection: a second one behind the first is not heard.
+    let two = "GET /v1/readyz HTTP/1.1\r\nhost: relay\r\n\r\n".repeat(2);
+    assert_eq!(relay.say(two.as_bytes()).1.matches("HTTP/1.1").count(), 1);
+    let (status, figures) = relay.call("GET", "/v1/metrics");
+    assert_eq!(status, 200);
+    for line in ["node.passed.low:0|c", "node.dropped.once:0|c", "node.in_progress:0|g", "node.loads:0|c"] {
+        assert!(figures.contains(line), "{line} in {figures}");
+    }
+    assert!(!relay.has_ended());
+}
+
+/// Guards good callers against those that hold their connections with no whole call.
+#[test]
+fn callers_that_say_nothing_whole_delay_nobody() {
+    let site = Site::new("slow-callers");
+    let relay = site.start();
+    relay.until_ready();
+    let half = |i: usize| {
+        let mut stream = TcpStream::connect(relay.operator).expect("it listens");
+        let part: &[u8] = if i.is_multiple_of(2) { b"GET /v1/re" } else { b"" };
+        stream.write_all(part).expect("it takes bytes");
+        stream
+    };
+    let mut held = Vec::new();
+    for round in 0..5 {
+        held.extend((0..20).map(half));
+        let started = Instant::now();
+        assert_eq!(relay.call("GET", "/v1/readyz").0, 200, "round {round}");
+        assert!(started.elapsed() < Duration::from_millis(900), "round {round}: {:?}", started.elapsed());
+    }
+    // Clients have places of their own.
+    assert!(Client::open(site.listen, "low").expect("a session").echoes());
+}
+
+#[test]
+fn a_drain_moves_everybody_and_a_second_call_ends_it() {
+    let site = Site::new("drain");
+    let relay = site.start();
+    relay.until_ready();
+    let mut clients: Vec<Client> =
+        (0..5).map(|_| Client::open(site.listen, "low").expect("a session")).collect();
+    assert!(clients.iter_mut().all(Client::echoes));
+    let begun = Instant::now();
+    assert_eq!(relay.call("POST", "/v1/relay/drain").0, 200);
+    assert_eq!(Client::ping(site.listen), Ok("BUSY".to_string()));
+    assert_eq!(relay.call("GET", "/v1/readyz").0, 503);
+    // The front still sends for a while.
+    clients.push(Client::open(site.listen, "once").expect("a session"));
+    for client in &mut clients {
+        assert_eq!(client.hear(), Ok("MOVE".to_string()));
+        assert_eq!(client.hear(), Err(Miss::Ended));
+    }
+    assert!(begun.elapsed() < Duration::from_secs(4), "{:?}", begun.elapsed());
+    assert!(matches!(Client::open(site.listen, "low"), Err(Miss::Said(word)) if word.starts_with("BUSY")));
+    assert_eq!(relay.call("POST", "/v1/relay/activate").0, 200);
+    assert_eq!(Client::ping(site.listen), Ok("PONG".to_string()));
+    assert!(Client::open(site.listen, "low").expect("a session").echoes());
+    let counts = ["passed.low", "passed.once", "dropped.low", "upstream_tries", "in_progress"];
+    let wanted = [6, 1, 1, 7, 0];
+    common::until("sessions that ended are in no figure", || relay.figure("in_progress") == Some(0));
+    for (name, wanted) in counts.iter().zip(wanted) {
+        assert_eq!(relay.figure(name), Some(wanted), "{name}");
+    }
+    assert!(begun.elapsed() < SOON);
+}
+
+#[test]
+fn files_read_at_sighup_are_counted_as_used_or_not() {
+    let site = Site::new("loads");
+    let relay = site.start();
+    relay.until_ready();
+    relay.signal("HUP");
+    common::until("a sound file is a load", || relay.figure("loads") == Some(1));
+    std::fs::write(&relay.path, "").expect("a file");
+    relay.signal("HUP");
+    common::until("an empty one is an error", || relay.figure("load_errors") == Some(1));
+    assert_eq!(relay.figure("loads"), Some(1));
+    assert!(Client::open(site.listen, "low").expect("a session").echoes());
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -171,6 +171,12 @@
         }
     }
 
+    /// Whether a session is sent to a server now only where there is no other.
+    pub fn avoids(&self, now: Micros, server: ServerId) -> bool {
+        let Some(v) = self.servers.get(&server) else { return true };
+        !v.entry.ready() || v.misses > 0 || v.flow.faulty(now, 2.0, 0.25)
+    }
+
     fn take(&mut self, sess: SessId, mut s: Sess) {
         s.asked.listener = s.asked.listener.min(self.site.listeners.len() - 1);
         let target = self.site.listeners[s.asked.listener].handshake_target;
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -4,6 +4,7 @@
 //! Inputs, each with `stalled` behind it where no alarm could go off before it:
 //!   `came FIRST..LAST`, `ping CONN`, `odd CONN`, `ask SESS LISTENER [wait=MS] [at=NAME] [mark=ID]`,
 //!   `gone SESS`, `up SESS DIAL`, `fell SESS DIAL HOW`, `ended SESS HOW`, `took SESS MS`, `load SESS X`,
+//!   `written SESS`, `unfit`, `call NUMBER ready|figures|drain|activate`,
 //!   `list full|changes VERSION NAME[:draining|:gone] ..`,
 //!   `list broken` (of the newest watch, or of=WATCH), `reload PORT [KEY=VALUE]`,
 //!   `probe NAME HOW|load=X [piled=X]`, `stop`, `run`. `first LINE` and `said LINE` show what a parser makes
@@ -21,7 +22,7 @@
 use hallrelay_config::facts::ReportOrder;
 use hallrelay_config::node::{self, Node, Told};
 use hallrelay_relay::lines;
-use hallrelay_relay::reducer::{Effect, Event, Reducer};
+use hallrelay_relay::reducer::{Call, Effect, Event, Reducer, Reply};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -107,6 +108,14 @@
     }
 
     fn note(&mut self, now: Micros, mut out: Vec<Effect>) {
+        // Whatever is played, each session that was taken has one outcome, or waits for it.
+        if let Some(reducer) = &self.reducer {
+            let figures = reducer.figures();
+            let sums = figures.listeners.values().fold((0, 0), |sum, n| {
+                (sum.0 + n.taken, sum.1 + n.passed + n.dropped + n.failed + n.abandoned)
+            });
+            assert_eq!(sums.0, sums.1 + figures.waiting as u64, "{figures:?}");
+        }
         for effect in &out {
             if let Effect::Alarm { after, alarm } = *effect {
                 self.asked += 1;
@@ -129,6 +138,9 @@
         Ok(vec![match at(0)? {
             "run" => return Ok(vec![]),
             "stop" => Event::Stop,
+            "unfit" => Event::Unfit,
+            "written" => Event::Written { sess: sess()? },
+            "call" => Event::Called { call: num(at(1)?)?, what: call(at(2)?)? },
             "came" => return Ok(range(at(1)?)?.map(|conn| Event::Came { conn }).collect()),
             "odd" => Event::Odd { conn: sess()? },
             "ping" => Event::Ping { conn: sess()? },
@@ -182,6 +194,30 @@
     }
 }
 
+fn call(word: &str) -> Result<Call, Fault> {
+    let calls = [
+        ("ready", Call::Ready),
+        ("figures", Call::Figures),
+        ("drain", Call::Drain),
+        ("activate", Call::Activate),
+    ];
+    calls.iter().find(|c| c.0 == word).map(|c| c.1).ok_or(format!("unknown call '{word}'"))
+}
+
+/// Figures are shown as their lines on one, those of 0 left out.
+fn replied(reply: &Reply) -> String {
+    match reply {
+        Reply::Yes(word) => format!("yes {word}"),
+        Reply::No(word) => format!("no {word}"),
+        Reply::Conflict(word) => format!("conflict {word}"),
+        Reply::Figures(figures) => {
+            let text = hallrelay_relay::figures::text(figures);
+            let some = text.lines().filter(|line| !line.contains(":0|"));
+            some.map(|line| line.trim_start_matches("node.")).collect::<Vec<_>>().join(" ")
+        }
+    }
+}
+
 impl Subject for Program {
     fn site(&mut self, words: &[&str]) -> Result<(), Fault> {
         let known = option(words, "known").ok_or("a site line says known=NAME,NAME")?;
@@ -232,6 +268,8 @@
     fn effects(&mut self) -> Vec<String> {
         let shown = self.effects.iter().map(|effect| match effect {
             Effect::Pong { conn } => format!("pong {conn}"),
+            Effect::Deny { conn } => format!("deny {conn}"),
+            Effect::Reply { call, reply } => format!("reply {call} {}", replied(reply)),
             Effect::Dial { sess, addr, wait, .. } => {
                 format!("dial {sess} at s-{} for {}", addr.port() - 1000, wait / 1000)
             }
