A new process takes the place of the running one over a Unix socket

Change: package handover/ has messages (versioned, bounded, checked) and the states of both sides, stepped without I/O; relay/src/net/handover.rs carries them. The old process offers its listening socket (SCM_RIGHTS), so both hold one accept queue; at the new one's ready it yields in one step and sends list, loads, cold turns, open marks, a drain in force. Duty table: waiting, relieved, away, leaving. A process that dies before that step changes nothing, after it the old one takes connections again.

Ruled out: SO_REUSEPORT, see docs/relay.md.

--- a/config/src/limits.rs
+++ b/config/src/limits.rs
@@ -57,6 +57,12 @@
     pub drain_from: Micros,
     pub drain_by: Micros,
     pub drain_takes: Micros,
+    /// Other processes at the door at once, and how long a running one may take to offer its place.
+    pub visitors: usize,
+    pub offer: Micros,
+    /// The same of a process that another has replaced, from SIGTERM on.
+    pub leave_from: Micros,
+    pub leave_by: Micros,
 }
 
 const MS: Micros = 1000;
@@ -68,9 +74,11 @@
     const PROBE_PART: usize = 16;
     /// Operators' connections: some who call each second, beside some who hold one and say nothing.
     const CALLERS: usize = 16;
+    /// The door for another process, and who stands there.
+    const DOOR: usize = 5;
 
     pub fn new(site: &Site, sockets: usize, operator: bool) -> Result<Limits, String> {
-        let own = Self::OWN_SOCKETS + usize::from(operator) * (Self::CALLERS + 2);
+        let own = Self::OWN_SOCKETS + usize::from(operator) * (Self::CALLERS + 1 + Self::DOOR);
         let left = sockets.saturating_sub(own + sockets / Self::PROBE_PART);
         if left < 4 {
             return Err(format!("limits.sockets is {sockets}, wanted {} at least", own * 2));
@@ -131,6 +139,13 @@
             drain_from: 500 * MS,
             drain_by: 3_300 * MS,
             drain_takes: 1_000 * MS,
+            // One to take the place, and some that are told no meanwhile.
+            visitors: 3,
+            // It is one message within one machine; operators give a new process 6 s in all.
+            offer: 2_000 * MS,
+            // The next process is there for whoever is moved: nothing is gained by waiting.
+            leave_from: 100 * MS,
+            leave_by: longest.max(1_000 * MS),
         })
     }
 }
--- a/config/src/list.rs
+++ b/config/src/list.rs
@@ -1,7 +1,7 @@
 //! The list of backends in discovery's form, as it stands in the start-up text and in each line of a watch.
 use crate::at::At;
 use hallrelay::types::{Micros, Phase};
-use serde_json::Value;
+use serde_json::{json, Value};
 use std::net::SocketAddr;
 
 #[derive(Clone, Debug, PartialEq)]
@@ -47,3 +47,17 @@
         instances: at.key("instances")?.list()?.iter().map(instance).collect::<Result<_, _>>()?,
     })
 }
+
+/// The list in the form in which it is read.
+pub fn encode<'a>(generation: u64, whole: bool, instances: impl Iterator<Item = &'a Instance>) -> Value {
+    let instance = |one: &Instance| {
+        let phase = match one.phase {
+            Phase::Ready => "up",
+            Phase::Draining => "draining",
+            Phase::Gone => "removed",
+        };
+        json!({"instanceId": one.id, "hostPort": one.addr.to_string(), "zone": one.zone, "cell": one.cell,
+            "lifecycle": phase, "startedAtMs": one.came_up as f64 / 1e3})
+    };
+    json!({"generation": generation, "reset": whole, "instances": instances.map(instance).collect::<Vec<_>>()})
+}
--- a/lab/src/virt.rs
+++ b/lab/src/virt.rs
@@ -37,7 +37,7 @@
 pub type Maker<'a> = Box<dyn Fn(Node) -> Box<dyn Mind> + 'a>;
 
 pub fn reducers() -> Maker<'static> {
-    Box::new(|node| Box::new(Reducer::new(node)))
+    Box::new(|node| Box::new(Reducer::new(node, None)))
 }
 
 /// A day begins at this Unix time; any will do that is no 0.
@@ -604,6 +604,9 @@
                 Effect::Exit => self.exits(relay),
                 Effect::Pong { .. } | Effect::Deny { .. } | Effect::Reply { .. } => {}
                 Effect::Forget { .. } | Effect::Kept { .. } => {}
+                // A virtual relay is one process all its life, and nobody waits at its socket.
+                Effect::Accept { .. } | Effect::Door { .. } | Effect::Note { .. } => {}
+                Effect::Tell { .. } | Effect::Part { .. } | Effect::GiveUp { .. } => {}
             }
         }
     }
--- a/relay/src/net/accept.rs
+++ b/relay/src/net/accept.rs
@@ -2,18 +2,28 @@
 use super::{first_line, Hub};
 use crate::clock::span;
 use crate::reducer::Event;
+use std::rc::Rc;
 use std::sync::Arc;
 use tokio::net::TcpListener;
-use tokio::sync::Semaphore;
+use tokio::sync::{watch, Semaphore};
 
-pub async fn run(listener: TcpListener, hub: Hub) {
+/// `on` tells whether connections are this process's to take, or wait for another one at the same socket.
+pub async fn run(listener: Rc<TcpListener>, mut on: watch::Receiver<bool>, hub: Hub) {
     // Long enough not to spin while descriptors are short, short against every dial timeout.
     const REST: u64 = 20_000;
     // Those over the limit wait no longer than it takes to shed the ones before them.
     let room = Arc::new(Semaphore::new(hub.limits.clients + hub.limits.shedding));
     loop {
+        if on.wait_for(|on| *on).await.is_err() {
+            return;
+        }
         let Ok(permit) = room.clone().acquire_owned().await else { return };
-        let stream = match listener.accept().await {
+        let next = tokio::select! {
+            biased;
+            _ = on.changed() => continue,
+            next = listener.accept() => next,
+        };
+        let stream = match next {
             Ok((stream, _)) => stream,
             Err(e) => {
                 slog::warn!(hub.log, "a connection could not be accepted"; "error" => %e);
--- a/relay/src/net/serve.rs
+++ b/relay/src/net/serve.rs
@@ -1,16 +1,19 @@
 //! Runs the relay: events go to the reducer in order of arrival, its effects to the tasks.
-use super::{accept, discovery, operator, probe, stop, Command, Hub};
+use super::{accept, discovery, handover, operator, probe, stop, Command, Hub};
 use crate::clock::Clock;
 use crate::lines;
 use crate::reducer::{Alarm, Call, Effect, Event, Reducer, Reply};
 use hallrelay::types::{Micros, ServerId};
 use hallrelay_config::node::Node;
+use hallrelay_handover::place::Peer;
+use hallrelay_handover::Message;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::AbortHandle;
 use tokio::time::sleep_until;
 
@@ -24,7 +27,19 @@
     watches: BTreeMap<u32, AbortHandle>,
     /// Operators' calls that are not yet answered.
     calls: BTreeMap<u32, oneshot::Sender<Reply>>,
-    exit: bool,
+    /// Whether connections are taken here; other processes, and where they come.
+    taking: watch::Sender<bool>,
+    peers: BTreeMap<Peer, mpsc::Sender<Message>>,
+    door: Option<Door>,
+    exit: Option<std::io::Result<()>>,
+}
+
+/// Where the next process may come, and what it is offered.
+struct Door {
+    path: PathBuf,
+    listener: Rc<TcpListener>,
+    guests: mpsc::Sender<handover::Guest>,
+    wait: Option<AbortHandle>,
 }
 
 /// Serves until it is told to stop and is empty.
@@ -50,7 +65,21 @@
     };
     // A wave of clients that return at once waits here, and not for its own next try.
     const BACKLOG: u32 = 1024;
-    let listener = listen(node.listen, BACKLOG)?;
+    // Only where operators run it: without a second address nobody could tell when a new process is ready.
+    let door = match node.operator.map(|_| handover::door(&node)) {
+        Some(Err(why)) => {
+            slog::warn!(log, "no process can take this one's place"; "why" => why);
+            None
+        }
+        door => door.and_then(Result::ok),
+    };
+    let offer = door.as_deref().map_or(Ok(None), |path| handover::ask(path, &node));
+    let offer = offer.map_err(std::io::Error::other)?;
+    let (before, listener) = match offer {
+        Some(offer) => (Some(offer.talk), from_std(offer.listener)?),
+        None => (None, listen(node.listen, BACKLOG)?),
+    };
+    let listener = Rc::new(listener);
     let (to_calls, mut calls) = mpsc::channel(limits.callers);
     if let Some(place) = node.operator {
         let listener = listen(place, limits.callers as u32)?;
@@ -58,6 +87,8 @@
     }
     slog::info!(log, "serving"; "name" => &node.name, "listen" => %node.listen, "limits" => ?limits);
 
+    let (taking, taken) = watch::channel(false);
+    let (to_guests, mut guests) = mpsc::channel(limits.visitors);
     let mut hands = Hands {
         hub: hub.clone(),
         alarms: BTreeMap::new(),
@@ -65,19 +96,33 @@
         probes: BTreeMap::new(),
         watches: BTreeMap::new(),
         calls: BTreeMap::new(),
-        exit: false,
+        taking,
+        peers: BTreeMap::new(),
+        door: door.map(|path| Door { path, listener: listener.clone(), guests: to_guests, wait: None }),
+        exit: None,
     };
-    let (mut reducer, mut effects) = (Reducer::new(node), Vec::new());
+    tokio::task::spawn_local(accept::run(listener, taken, hub.clone()));
+    let before = before.map(|talk| handover::begin(talk, &limits, &hub)).transpose()?;
+    let place = before.as_ref().map(|guest| guest.peer);
+    hands.peers.extend(before.map(|guest| (guest.peer, guest.to)));
+    let (mut reducer, mut effects) = (Reducer::new(node, place), Vec::new());
     reducer.start(clock.now(), &mut effects);
+    if let Some(before) = place {
+        reducer.could_take_over(before, &mut effects);
+    }
     hands.carry_out(&mut effects);
-    tokio::task::spawn_local(accept::run(listener, hub.clone()));
     tokio::task::spawn_local(stop::run(signals, reread, hub));
-    while !hands.exit {
+    while hands.exit.is_none() {
         let next = hands.alarms.first_key_value().map_or(Micros::MAX / 2, |((at, _), _)| *at);
         let event = tokio::select! {
             biased;
             // Before all that waits from sessions: a crowd of these may not delay an operator.
             Some((what, answer)) = calls.recv() => Some(hands.called(what, answer)),
+            // Whom the reducer is to answer is known before it hears what they say.
+            Some(guest) = guests.recv() => {
+                hands.peers.insert(guest.peer, guest.to);
+                None
+            }
             event = arrived.recv() => event,
             () = sleep_until(clock.at(next)) => None,
         };
@@ -92,8 +137,15 @@
             hands.carry_out(&mut effects);
         }
     }
-    slog::info!(log, "empty, and stopping");
-    Ok(())
+    let ended = hands.exit.take().unwrap_or(Ok(()));
+    slog::info!(log, "stopping"; "well" => ended.is_ok());
+    hands.close_door();
+    ended
+}
+
+fn from_std(listener: std::net::TcpListener) -> std::io::Result<TcpListener> {
+    listener.set_nonblocking(true)?;
+    TcpListener::from_std(listener)
 }
 
 fn listen(place: SocketAddr, backlog: u32) -> std::io::Result<TcpListener> {
@@ -156,11 +208,46 @@
                     self.asked += 1;
                     self.alarms.insert((self.hub.clock.now() + after, self.asked), alarm);
                 }
-                Effect::Exit => self.exit = true,
+                Effect::Accept { on } => _ = self.taking.send(on),
+                Effect::Tell { peer, message } => {
+                    if self.peers.get(&peer).is_none_or(|to| to.try_send(message).is_err()) {
+                        slog::warn!(self.hub.log, "another process does not hear"; "peer" => peer);
+                    }
+                }
+                // What was said goes out first.
+                Effect::Part { peer } => _ = self.peers.remove(&peer),
+                Effect::Door { open: true } => {
+                    let Some(door) = &mut self.door else { continue };
+                    let wait = handover::wait(
+                        door.path.clone(),
+                        door.listener.clone(),
+                        door.guests.clone(),
+                        self.hub.clone(),
+                    );
+                    let wait = tokio::task::spawn_local(wait).abort_handle();
+                    door.wait.replace(wait).inspect(AbortHandle::abort);
+                }
+                Effect::Door { open: false } => {
+                    // The path is the other process's to take.
+                    self.door.as_mut().and_then(|door| door.wait.take()).inspect(AbortHandle::abort);
+                }
+                Effect::Note { what } => slog::info!(self.hub.log, "{}", what),
+                Effect::GiveUp { why } => {
+                    let why = format!("the running process keeps its place: {why}");
+                    self.exit = Some(Err(std::io::Error::other(why)));
+                }
+                Effect::Exit => self.exit = Some(Ok(())),
             }
         }
     }
 
+    /// Leaves no path behind that nobody answers at.
+    fn close_door(&mut self) {
+        if let Some(door) = self.door.take().filter(|door| door.wait.is_some()) {
+            _ = std::fs::remove_file(door.path);
+        }
+    }
+
     fn probe(&mut self, server: ServerId, addr: SocketAddr) {
         let keep = self.probes.len() < self.hub.limits.probes;
         let to = self.probes.entry(server).or_insert_with(|| {
--- a/relay/src/reducer/figures.rs
+++ b/relay/src/reducer/figures.rs
@@ -54,7 +54,7 @@
     /// The figures as they are now.
     pub fn figures(&self) -> Figures {
         let waits = |stage| matches!(stage, Stage::Admit | Stage::Dial);
-        let listed = self.servers.iter().filter(|(_, v)| v.phase != hallrelay::types::Phase::Gone);
+        let listed = self.servers.iter().filter(|(_, v)| v.told.phase != hallrelay::types::Phase::Gone);
         Figures {
             in_progress: self.sessions.len(),
             waiting: self.sessions.values().filter(|s| waits(s.stage)).count(),
--- a/relay/src/reducer/mod.rs
+++ b/relay/src/reducer/mod.rs
@@ -3,6 +3,7 @@
 //! carry out. It reads no clock and no socket, and decides nothing that the module decides.
 mod duty;
 mod figures;
+mod place;
 mod servers;
 mod sessions;
 mod watch;
@@ -13,9 +14,11 @@
 use crate::lines::Open;
 use duty::{Duty, Sign};
 use hallrelay::logic::Relay;
-use hallrelay::types::{self as module, Asked, DialEnd, Input, Micros, Phase, Report, ServerId, SessId};
-use hallrelay_config::list::List;
+use hallrelay::types::{self as module, Asked, DialEnd, Input, Micros, Report, ServerId, SessId};
+use hallrelay_config::list::{Instance, List};
 use hallrelay_config::node::Node;
+use hallrelay_handover::place::{self as handover, Peer, Place};
+use hallrelay_handover::Message;
 use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -113,6 +116,8 @@
         call: u32,
         what: Call,
     },
+    /// Something came from the process before or after this one.
+    Place(handover::Event),
     Alarm(Alarm),
     Stop,
 }
@@ -126,6 +131,10 @@
     Again(SessId),
     /// Sessions are moved while the relay stops or drains; of the how-manieth time that it does so.
     Emptying(u32),
+    /// An offered place was not taken.
+    Offered(Peer),
+    /// The process that took this one's place is told what is held here still.
+    Holding,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -195,6 +204,29 @@
     Unwatch {
         watch: u32,
     },
+    /// Connections are taken, or are left to another process.
+    Accept {
+        on: bool,
+    },
+    /// What is said to another process, and the end of it.
+    Tell {
+        peer: Peer,
+        message: Message,
+    },
+    Part {
+        peer: Peer,
+    },
+    /// Other processes may come to take this one's place, or no more.
+    Door {
+        open: bool,
+    },
+    Note {
+        what: String,
+    },
+    /// The process ends with a complaint.
+    GiveUp {
+        why: String,
+    },
     /// A key of a new configuration that can't change while the program runs.
     Kept {
         key: &'static str,
@@ -230,9 +262,8 @@
 }
 
 struct Server {
-    name: String,
-    addr: SocketAddr,
-    phase: Phase,
+    /// As the list told it last.
+    told: Instance,
     probing: bool,
     /// Probes in a row without any answer.
     misses: u32,
@@ -279,12 +310,23 @@
     /// Thousandths of a session that are to be moved still.
     owed: usize,
     figures: Figures,
+    place: Place,
+    /// What the process before this one holds still: connections, and sessions among them.
+    shared: (usize, u32),
+    /// Marks of sessions there.
+    their_marks: HashSet<u64>,
+    held: (u32, u32),
     asks: Vec<module::Effect>,
 }
 
 impl Reducer {
-    pub fn new(node: Node) -> Reducer {
+    /// `before`: the process whose place this one is to take, where there is one.
+    pub fn new(node: Node, before: Option<Peer>) -> Reducer {
         Reducer {
+            place: Place::new(&node.name, &node.listen.to_string(), before),
+            shared: (0, 0),
+            their_marks: HashSet::new(),
+            held: (0, 0),
             module: Relay::new(node.site.facts.clone(), node.seed),
             figures: Figures::of(&node.site.listeners),
             node,
@@ -297,7 +339,7 @@
             watch: Watch::default(),
             aside: VecDeque::new(),
             pings: Vec::new(),
-            duty: Duty::default(),
+            duty: if before.is_some() { Duty::Waiting } else { Duty::default() },
             since: 0,
             round: 0,
             owed: 0,
@@ -314,6 +356,7 @@
         if !self.node.site.facts.must_watch {
             self.ask_list(out);
         }
+        self.begin(out);
     }
 
     pub fn step(&mut self, now: Micros, event: Event, out: &mut Vec<Effect>) {
@@ -358,6 +401,7 @@
                 let reply = self.called(what, out);
                 out.push(Effect::Reply { call, reply });
             }
+            Event::Place(event) => self.placed(event, out),
             Event::Alarm(alarm) => self.alarm(alarm, out),
             Event::Stop => _ = self.turn(Sign::Stop, out),
             // Of a dial or a session that is over.
@@ -380,7 +424,7 @@
                 (s.stage, s.server, s.dials) = (Stage::Dial, Some(server), s.dials + 1);
                 let dial = s.dials - 1;
                 if let Some(v) = self.servers.get(&server) {
-                    return out.push(Effect::Dial { sess, dial, addr: v.addr, wait });
+                    return out.push(Effect::Dial { sess, dial, addr: v.told.addr, wait });
                 }
                 let end = DialEnd::Unconnected;
                 self.tell(Input::DialEnded { sess, dial, end, settled: false, report: None }, out);
@@ -393,7 +437,7 @@
             module::Effect::Probe { server } => {
                 let Some(v) = self.servers.get_mut(&server) else { return };
                 v.probing = true;
-                out.push(Effect::Probe { server, addr: v.addr });
+                out.push(Effect::Probe { server, addr: v.told.addr });
             }
             module::Effect::Alarm { after, label } => {
                 out.push(Effect::Alarm { after, alarm: Alarm::Module(label) });
@@ -415,6 +459,8 @@
             }
             Alarm::Emptying(round) if round == self.round => self.empty(out),
             Alarm::Emptying(_) => {}
+            Alarm::Offered(peer) => self.placed(handover::Event::Due { peer }, out),
+            Alarm::Holding => self.holding(out),
         }
     }
 }
--- a/relay/src/reducer/servers.rs
+++ b/relay/src/reducer/servers.rs
@@ -23,7 +23,7 @@
 
     pub(super) fn list(&mut self, list: List, out: &mut Vec<Effect>) {
         if list.whole {
-            self.servers.values_mut().for_each(|v| v.phase = Phase::Gone);
+            self.servers.values_mut().for_each(|v| v.told.phase = Phase::Gone);
         }
         let kind = if list.whole { ListKind::Full } else { ListKind::Changes };
         let entries = list.instances.into_iter().map(|one| self.entry(one)).collect();
@@ -44,16 +44,9 @@
                 server
             }
         };
-        let fresh = || Server {
-            name: one.id.clone(),
-            addr: one.addr,
-            phase: one.phase,
-            probing: false,
-            misses: 0,
-            delay: Delay::default(),
-        };
+        let fresh = || Server { told: one.clone(), probing: false, misses: 0, delay: Delay::default() };
         let v = self.servers.entry(server).or_insert_with(fresh);
-        (v.addr, v.phase) = (one.addr, one.phase);
+        v.told = one.clone();
         let zone = self.node.site.zones.iter().position(|name| *name == one.zone);
         let zone = zone.and_then(|at| u8::try_from(at).ok()).unwrap_or(u8::MAX);
         Entry { server, phase: one.phase, came_up: one.came_up, zone, cell: one.cell }
@@ -61,14 +54,18 @@
 
     /// What is gone is forgotten once nothing names it, or a long life would gather all there ever were.
     pub(super) fn forget(&mut self, out: &mut Vec<Effect>) {
-        let gone: Vec<ServerId> =
-            self.servers.iter().filter(|(_, v)| v.phase == Phase::Gone && !v.probing).map(|v| *v.0).collect();
+        let gone: Vec<ServerId> = self
+            .servers
+            .iter()
+            .filter(|(_, v)| v.told.phase == Phase::Gone && !v.probing)
+            .map(|v| *v.0)
+            .collect();
         for server in gone {
             if self.sessions.values().any(|s| s.server == Some(server)) {
                 continue;
             }
             if let Some(v) = self.servers.remove(&server) {
-                self.ids.remove(&v.name);
+                self.ids.remove(&v.told.id);
                 out.push(Effect::Forget { server });
             }
         }
--- a/relay/src/reducer/sessions.rs
+++ b/relay/src/reducer/sessions.rs
@@ -17,7 +17,7 @@
     /// connection that is no session gives up its own.
     pub(super) fn came(&mut self, conn: SessId, out: &mut Vec<Effect>) {
         self.aside.push_back(conn);
-        if self.sessions.len() + self.aside.len() > self.node.limits.clients {
+        if self.shared.0 + self.sessions.len() + self.aside.len() > self.node.limits.clients {
             out.extend(self.aside.pop_front().map(|conn| Effect::Shed { conn }));
         }
     }
@@ -52,7 +52,8 @@
         // Guards the open session whose mark another client sends, and times that no client would wait.
         // (A connection that stood before may name a time of its own, which counts for nothing here.)
         let timely = open.at.is_some() || left <= self.node.limits.wait;
-        let fit = timely && !self.marks.contains(&open.id);
+        let marked = self.marks.contains(&open.id) || self.their_marks.contains(&open.id);
+        let fit = timely && !marked;
         let Some(listener) = listener.filter(|_| fit) else { return self.odd(sess, out) };
         self.aside.retain(|conn| *conn != sess);
         let most = self.node.site.dial_timeouts[listener];
@@ -80,7 +81,10 @@
         self.figures.of_listener(&s.listener).taken += 1;
         self.marks.insert(s.id);
         self.sessions.insert(sess, s);
-        if !self.takes() {
+        // The descriptors that the process before this one holds are this one's too.
+        let full =
+            self.shared.1 > 0 && self.sessions.len() as u32 + self.shared.1 > self.node.limits.sessions;
+        if full || !self.takes() {
             return self.refuse(sess, out);
         }
         out.push(Effect::Alarm { after: left, alarm: Alarm::Due(sess) });
@@ -111,7 +115,7 @@
     /// Dials the backend of a standing connection.
     pub(super) fn again(&mut self, sess: SessId, out: &mut Vec<Effect>) {
         let Some(s) = self.sessions.get_mut(&sess).filter(|s| s.stage == Stage::Admit) else { return };
-        let Some(addr) = s.server.and_then(|id| self.servers.get(&id)).map(|v| v.addr) else {
+        let Some(addr) = s.server.and_then(|id| self.servers.get(&id)).map(|v| v.told.addr) else {
             return self.answer(sess, Effect::TearDown { sess }, out);
         };
         (s.stage, s.dials) = (Stage::Dial, s.dials + 1);
--- a/relay/src/reducer/watch.rs
+++ b/relay/src/reducer/watch.rs
@@ -1,5 +1,5 @@
 //! The watch on the list: asked for, renewed, moved by a new configuration.
-use super::{Effect, Reducer};
+use super::{Effect, Reducer, Sess, Stage};
 use hallrelay::types::{Input, ListKind};
 use hallrelay_config::list::List;
 use hallrelay_config::node::Node;
@@ -52,4 +52,13 @@
         self.generation = None;
         self.ask_list(out);
     }
+
+    /// Guards discovery against a process that leaves: once nobody here waits for a place, nothing is asked.
+    pub(super) fn unwatch(&mut self, out: &mut Vec<Effect>) {
+        let waits = |s: &Sess| matches!(s.stage, Stage::Admit | Stage::Dial);
+        if !self.sessions.values().any(waits) && std::mem::take(&mut self.watch.out) {
+            let watches = [Some(self.watch.last), self.watch.before.take()];
+            out.extend(watches.into_iter().flatten().map(|watch| Effect::Unwatch { watch }));
+        }
+    }
 }
--- a/relay/tests/operations.rs
+++ b/relay/tests/operations.rs
@@ -4,6 +4,9 @@
 use common::{Client, Miss, Site, SOON};
 use std::io::Write;
 use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 #[test]
@@ -100,3 +103,100 @@
     assert_eq!(relay.figure("loads"), Some(1));
     assert!(Client::open(site.listen, "low").expect("a session").echoes());
 }
+
+/// Clients that come one after another till told to stop, and what became of them: sessions, and misses.
+fn come_and_go(place: std::net::SocketAddr) -> (Arc<AtomicBool>, JoinHandle<(u32, Vec<Miss>)>) {
+    let stop = Arc::new(AtomicBool::new(false));
+    let told = stop.clone();
+    let clients = std::thread::spawn(move || {
+        let (mut up, mut missed) = (0, Vec::new());
+        while !told.load(Ordering::Relaxed) {
+            match Client::open(place, "low") {
+                Ok(_) => up += 1,
+                Err(why) => missed.push(why),
+            }
+        }
+        (up, missed)
+    });
+    (stop, clients)
+}
+
+/// Replacements in a row under load, a broken build among them: no connection is refused, reset or unread.
+#[test]
+fn processes_follow_each_other_and_no_connection_is_lost() {
+    let mut site = Site::new("upgrades");
+    let mut old = site.start();
+    old.until_ready();
+    let coming: Vec<_> = (0..3).map(|_| come_and_go(site.listen)).collect();
+    for round in 0..4 {
+        let mut held = Client::open(site.listen, "low").expect("a session");
+        site.text["operator"] = serde_json::json!(common::free().to_string());
+        if round == 1 {
+            // A build that ends at its start leaves the running process as it is.
+            let good = site.text["seed"].take();
+            let mut broken = site.start();
+            common::until("the broken one ends", || broken.has_ended());
+            site.text["seed"] = good;
+            assert!(old.ready() && held.echoes());
+        }
+        let new = site.start();
+        new.until_ready();
+        assert_eq!(old.call("GET", "/v1/readyz").0, 503, "round {round}");
+        assert!(held.echoes(), "round {round}: who is open stays till the old process is told to stop");
+        old.signal("TERM");
+        assert_eq!(held.hear(), Ok("MOVE".to_string()), "round {round}");
+        common::until("the old process leaves", || old.has_ended());
+        old = new;
+    }
+    let mut ups = 0;
+    for (stop, clients) in coming {
+        stop.store(true, Ordering::Relaxed);
+        let (up, missed) = clients.join().expect("clients");
+        assert_eq!(missed, Vec::<Miss>::new());
+        ups += up;
+    }
+    assert!(ups > 100, "only {ups} sessions came about");
+    assert!(!old.has_ended());
+}
+
+#[test]
+fn a_new_process_that_dies_gives_the_place_back_and_a_third_is_refused() {
+    let mut site = Site::new("dies");
+    let mut old = site.start();
+    old.until_ready();
+    let mut held = Client::open(site.listen, "low").expect("a session");
+    site.text["operator"] = serde_json::json!(common::free().to_string());
+    let mut new = site.start();
+    new.until_ready();
+    // The old process still holds a session: a third one is told so and ends.
+    site.text["operator"] = serde_json::json!(common::free().to_string());
+    let mut third = site.start();
+    common::until("the third ends", || third.has_ended());
+    assert!(new.ready());
+    new.child.kill().expect("it lives");
+    common::until("the old process serves again", || old.ready());
+    assert!(held.echoes());
+    assert!(Client::open(site.listen, "low").expect("a session").echoes());
+    // And it can be replaced still.
+    let newest = site.start();
+    newest.until_ready();
+    assert_eq!(old.call("GET", "/v1/readyz").0, 503);
+    assert!(!old.has_ended());
+}
+
+/// What a crash leaves behind is no process: the start is an ordinary one.
+#[test]
+fn a_socket_that_nobody_answers_at_is_replaced() {
+    let site = Site::new("stale");
+    let mut old = site.start();
+    old.until_ready();
+    old.child.kill().expect("it lives");
+    old.child.wait().expect("it ends");
+    assert!(std::fs::read_dir(&site.folder)
+        .expect("a folder")
+        .flatten()
+        .any(|f| { f.file_name().to_string_lossy().ends_with(".sock") }));
+    let new = site.start();
+    new.until_ready();
+    assert!(Client::open(site.listen, "low").expect("a session").echoes());
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -137,6 +137,7 @@
         }
         match input {
             Input::List { kind, entries } => self.list(kind, entries, out),
+            Input::Remember { step, servers } => self.remember(step, servers),
             Input::Asked { sess, asked } => {
                 self.take(sess, Sess { asked, ..Sess::default() });
                 self.play(sess, Room, out);
@@ -177,6 +178,34 @@
         !v.entry.ready() || v.misses > 0 || v.flow.faulty(now, 2.0, 0.25)
     }
 
+    /// What goes on with the process that takes this one's place: the two are one relay, and share one budget.
+    pub fn memory(&self, now: Micros) -> (f64, Vec<Memory>) {
+        let one = |(&server, v): (&ServerId, &Server)| {
+            let report = Report { load: Some(v.load), piled: Some(v.piled), held: Some(v.held) };
+            let (report, misses) = (v.heard.map(|then| (now.saturating_sub(then), report)), v.misses);
+            let placed = v.flow.net.sum(now, 8 * SECOND);
+            Memory { server, report, misses, placed, turn: (now.saturating_sub(v.turn.0), v.turn.1) }
+        };
+        (self.gauge.step, self.servers.iter().map(one).collect())
+    }
+
+    fn remember(&mut self, step: f64, servers: Vec<Memory>) {
+        self.gauge.step = step.clamp(0.002, 0.05);
+        for m in servers {
+            let Some(v) = self.servers.get_mut(&m.server) else { continue };
+            let then = |ago| self.now.saturating_sub(ago);
+            // What this process heard or did itself is newer.
+            if let Some((ago, report)) = m.report.filter(|r| v.heard.is_none_or(|t| t < then(r.0))) {
+                v.hear(then(ago), Some(report));
+                v.misses = m.misses;
+            }
+            v.turn = (then(m.turn.0), m.turn.1);
+            v.flow.net.add(self.now, m.placed);
+            self.net.add(self.now, m.placed);
+        }
+        self.gauge.until = self.now;
+    }
+
     fn take(&mut self, sess: SessId, mut s: Sess) {
         s.asked.listener = s.asked.listener.min(self.site.listeners.len() - 1);
         let target = self.site.listeners[s.asked.listener].handshake_target;
--- a/src/types.rs
+++ b/src/types.rs
@@ -127,8 +127,25 @@
     pub left: Micros,
 }
 
+/// What a relay knows of a server, for the process that goes on in its place. Times are ago.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Memory {
+    pub server: ServerId,
+    pub report: Option<(Micros, Report)>,
+    pub misses: u32,
+    /// Sessions placed there of late, less those that left.
+    pub placed: f64,
+    /// Its last turn at the cold server, and what part of a pause the next one takes.
+    pub turn: (Micros, f64),
+}
+
 #[derive(Clone, Debug)]
 pub enum Input {
+    /// What another process knew, whose place this relay takes; `step`, one session's part of a server.
+    Remember {
+        step: f64,
+        servers: Vec<Memory>,
+    },
     List {
         kind: ListKind,
         entries: Vec<Entry>,
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -146,6 +146,20 @@
             let (dial, settled) = (num(at(2)?)?, words.contains(&"settled"));
             Ok(Input::DialEnded { sess, dial, end: dial_end(at(3)?)?, settled, report: None })
         }),
+        "remember" => {
+            let figure = |key| option(words, key).map(num::<f64>).transpose();
+            let ago = |key| option(words, key).map_or(Ok(0), millis);
+            let load = figure("load")?;
+            let report = Report { load, piled: Some(0.0), held: Some(0.0) };
+            let memory = Memory {
+                server: num(at(1)?)?,
+                report: load.map(|_| Ok::<_, Fault>((ago("age")?, report))).transpose()?,
+                placed: figure("placed")?.unwrap_or(0.0),
+                turn: (ago("turn")?, 1.0),
+                ..Memory::default()
+            };
+            Ok(vec![Input::Remember { step: figure("step")?.unwrap_or(0.02), servers: vec![memory] }])
+        }
         "alarm" => Ok(vec![Input::Alarm { label: num(at(1)?)? }]),
         "probe" => {
             let (end, report) = probe_end(words, at(2)?)?;
