--- a/config/src/node.rs
+++ b/config/src/node.rs
@@ -17,6 +17,8 @@
     pub site: Site,
     pub known: List,
     pub limits: Limits,
+    /// Descriptors that all limits of counts come from.
+    pub sockets: usize,
 }
 
 /// What the environment or the command line says in place of the text.
@@ -39,15 +41,47 @@
     /// Keys that differ in a text read later and can't change while the program runs. The list in it may be
     /// old, and the seed is that of the start.
     pub fn fixed(&self, later: &Node) -> Vec<&'static str> {
+        let (own, new) = (&self.site.facts, &later.site.facts);
         let keys = [
             ("name", self.name != later.name),
             ("listen", self.listen != later.listen),
             ("operator", self.operator != later.operator),
-            ("limits", self.limits != later.limits),
-            ("settings", self.site != later.site),
+            ("limits", self.sockets != later.sockets),
+            ("settings.Discovery", own.must_watch != new.must_watch),
+            ("settings.SlotNo", (own.slot, own.zone) != (new.slot, new.zone)),
         ];
         keys.into_iter().filter(|key| key.1).map(|key| key.0).collect()
     }
+
+    /// The limits under other settings, on the same machine.
+    pub fn limits_for(&self, site: &Site) -> Result<Limits, String> {
+        Limits::new(site, self.sockets, self.operator.is_some())
+    }
+
+    /// Takes over other settings, but for what can't change while the program runs.
+    pub fn tune(&mut self, site: Site, limits: Limits) {
+        let own = self.site.facts.clone();
+        (self.site, self.limits) = (site, limits);
+        let facts = &mut self.site.facts;
+        (facts.must_watch, facts.slot, facts.zone) = (own.must_watch, own.slot, own.zone);
+        facts.max_open = facts.max_open.min(limits.sessions);
+    }
+}
+
+/// Times and counts of the settings that a relay can do nothing with at 0.
+fn over_0(settings: &At) -> Result<(), String> {
+    let over = |at: At| if at.num()? > 0.0 { Ok(()) } else { at.wrong("more than 0") };
+    let ceilings = settings.key("Ceilings")?;
+    ["MostDials", "MaxOpen", "ConnectTimeout"].iter().try_for_each(|key| over(ceilings.key(key)?))?;
+    let listeners = settings.key("Listeners")?.list()?;
+    for (i, listener) in listeners.iter().enumerate() {
+        ["DialTimeout", "HandshakeTarget"].iter().try_for_each(|key| over(listener.key(key)?))?;
+        let name = listener.key("Name")?;
+        if listeners[..i].iter().any(|other| other.value["Name"] == *name.value) {
+            return name.wrong("a name that no listener before it has");
+        }
+    }
+    Ok(())
 }
 
 /// What holds where the text names no limit: that of a small machine.
@@ -74,7 +108,9 @@
     };
     let sockets = top.option("limits").and_then(|at| at.option("sockets"));
     let sockets = sockets.map_or(Ok(SOCKETS), |at| at.small())?;
-    let mut site = facts::decode(&top.key("settings")?)?;
+    let settings = top.key("settings")?;
+    let mut site = facts::decode(&settings)?;
+    over_0(&settings)?;
     let limits = Limits::new(&site, sockets, operator.is_some())?;
     // C_ID of the design: no more sessions than this machine has descriptors for.
     site.facts.max_open = site.facts.max_open.min(limits.sessions);
@@ -87,5 +123,6 @@
         known: top.option("known").map_or(Ok(List::default()), |at| list::decode(&at))?,
         site,
         limits,
+        sockets,
     })
 }
--- a/lab/src/virt.rs
+++ b/lab/src/virt.rs
@@ -603,7 +603,7 @@
                 Effect::Unwatch { watch } => self.relays[relay].watches.retain(|w| w.id != watch),
                 Effect::Exit => self.exits(relay),
                 Effect::Pong { .. } | Effect::Deny { .. } | Effect::Reply { .. } => {}
-                Effect::Forget { .. } | Effect::Kept { .. } => {}
+                Effect::Forget { .. } | Effect::Kept { .. } | Effect::Tuned { .. } => {}
                 // A virtual relay is one process all its life, and nobody waits at its socket.
                 Effect::Accept { .. } | Effect::Door { .. } | Effect::Note { .. } => {}
                 Effect::Tell { .. } | Effect::Part { .. } | Effect::GiveUp { .. } => {}
--- a/relay/src/net/accept.rs
+++ b/relay/src/net/accept.rs
@@ -12,7 +12,7 @@
     // Long enough not to spin while descriptors are short, short against every dial timeout.
     const REST: u64 = 20_000;
     // Those over the limit wait no longer than it takes to shed the ones before them.
-    let room = Arc::new(Semaphore::new(hub.limits.clients + hub.limits.shedding));
+    let room = Arc::new(Semaphore::new(hub.limits().clients + hub.limits().shedding));
     loop {
         if on.wait_for(|on| *on).await.is_err() {
             return;
--- a/relay/src/net/dial.rs
+++ b/relay/src/net/dial.rs
@@ -25,7 +25,7 @@
 
 /// Whether the last byte of the line was written tells whether the dial may have run.
 pub async fn run(sess: SessId, addr: SocketAddr, line: &[u8], wait: Micros, hub: &Hub) -> Ended {
-    let limits = &hub.limits;
+    let limits = hub.limits();
     let over = Instant::now() + span(wait);
     let never = Ended::Not(DialEnd::Unconnected, None);
     let Ok(Ok(stream)) = timeout(span(wait.min(limits.connect)), TcpStream::connect(addr)).await else {
@@ -42,7 +42,7 @@
         return Ended::Not(DialEnd::Timeout, None);
     };
     let Ok(mut up) = answer else { return Ended::Not(DialEnd::Reset, None) };
-    match lines::said(&up, hub.order) {
+    match lines::said(&up, hub.order()) {
         Said::Up => {
             up.extend_from_slice(lines::END);
             Ended::Up(Backend { stream, buffer, up })
--- a/relay/src/net/discovery.rs
+++ b/relay/src/net/discovery.rs
@@ -42,7 +42,7 @@
 
 /// Returns why the watch is over.
 async fn watch(id: u32, addr: SocketAddr, since: Option<u64>, hub: &Hub) -> String {
-    let limits = &hub.limits;
+    let limits = hub.limits();
     let since = match since {
         Some(since) => since,
         None => match timeout(span(limits.discovery_first), whole(addr, limits.list)).await {
--- a/relay/src/net/end.rs
+++ b/relay/src/net/end.rs
@@ -12,7 +12,7 @@
 
 /// Writes a final answer and ends.
 pub async fn answer(client: TcpStream, line: &[u8], commands: &mut Receiver<Command>, hub: &Hub) {
-    if write(&client, line, hub.limits.end).await {
+    if write(&client, line, hub.limits().end).await {
         tokio::select! {
             () = orderly(client, hub) => {}
             // Its place is wanted: the answer is out, and all that is lost is a polite end.
@@ -57,7 +57,7 @@
             }
         }
     };
-    _ = timeout(span(hub.limits.end), drain).await;
+    _ = timeout(span(hub.limits().end), drain).await;
 }
 
 /// Ends a connection by a reset.
--- a/relay/src/net/first_line.rs
+++ b/relay/src/net/first_line.rs
@@ -22,7 +22,7 @@
 }
 
 pub async fn run(conn: SessId, client: TcpStream, mut commands: Receiver<Command>, hub: &Hub) {
-    let limits = &hub.limits;
+    let limits = hub.limits();
     // One time for all that comes before the session: what says something now and then would stay for ever.
     let over = Instant::now() + span(limits.first_line);
     let mut buffer = Buffer::new(limits.buffer_first, limits.buffer_most);
--- a/relay/src/net/handover.rs
+++ b/relay/src/net/handover.rs
@@ -115,7 +115,7 @@
             return;
         }
     };
-    let room = Arc::new(Semaphore::new(hub.limits.visitors));
+    let room = Arc::new(Semaphore::new(hub.limits().visitors));
     let mut last = BEFORE;
     loop {
         let Ok(permit) = room.clone().acquire_owned().await else { return };
@@ -127,7 +127,7 @@
             continue;
         }
         last = last.wrapping_add(1).max(BEFORE + 1);
-        let (to, said) = mpsc::channel(hub.limits.commands);
+        let (to, said) = mpsc::channel(hub.limits().commands);
         if guests.send(Guest { peer: last, to }).await.is_err() {
             return;
         }
@@ -181,7 +181,7 @@
                     Err(why) => {
                         slog::warn!(hub.log, "another process is not understood"; "why" => &why);
                         let no = encode(&Message::No { why }).unwrap_or_default();
-                        _ = tokio::time::timeout(span(hub.limits.end), write.write_all(&no)).await;
+                        _ = tokio::time::timeout(span(hub.limits().end), write.write_all(&no)).await;
                         break;
                     }
                 }
@@ -196,7 +196,7 @@
                     Some(listener) => send(write.as_ref().as_fd(), &bytes, listener.as_fd()).is_ok(),
                     None => {
                         let all = write.write_all(&bytes);
-                        matches!(tokio::time::timeout(span(hub.limits.offer), all).await, Ok(Ok(())))
+                        matches!(tokio::time::timeout(span(hub.limits().offer), all).await, Ok(Ok(())))
                     }
                 };
                 if !sent {
--- a/relay/src/net/mod.rs
+++ b/relay/src/net/mod.rs
@@ -53,13 +53,21 @@
     /// Where bytes go that nobody reads any more.
     waste: Rc<RefCell<Vec<u8>>>,
     last_id: Rc<Cell<SessId>>,
-    limits: Limits,
-    order: ReportOrder,
+    /// As the configuration in force has them.
+    tuned: Rc<RefCell<(Rc<Limits>, ReportOrder)>>,
     clock: Clock,
     log: slog::Logger,
 }
 
 impl Hub {
+    fn limits(&self) -> Rc<Limits> {
+        self.tuned.borrow().0.clone()
+    }
+
+    fn order(&self) -> ReportOrder {
+        self.tuned.borrow().1
+    }
+
     async fn tell(&self, event: Event) {
         // The reducer's end closes only with the program.
         _ = self.events.send(event).await;
@@ -73,7 +81,7 @@
             id = id.wrapping_add(1);
         }
         self.last_id.set(id);
-        let (to, commands) = mpsc::channel(self.limits.commands);
+        let (to, commands) = mpsc::channel(self.limits().commands);
         conns.insert(id, to);
         (id, commands)
     }
--- a/relay/src/net/operator.rs
+++ b/relay/src/net/operator.rs
@@ -43,7 +43,7 @@
             }
         };
         open.retain(|task| !task.is_finished());
-        if open.len() >= hub.limits.callers {
+        if open.len() >= hub.limits().callers {
             // Guards a caller whose call is whole against those that hold a place and never say theirs.
             open.pop_front().inspect(JoinHandle::abort);
         }
@@ -53,7 +53,7 @@
 
 async fn one(stream: TcpStream, calls: Calls, hub: Hub) {
     _ = stream.set_nodelay(true);
-    let limits = hub.limits;
+    let limits = hub.limits();
     let service = service_fn(|asked| async {
         let answer = answer(asked, &calls, limits.call_body).await;
         Ok::<_, Infallible>(answer)
--- a/relay/src/net/pass.rs
+++ b/relay/src/net/pass.rs
@@ -40,19 +40,19 @@
     fn client_lines(&mut self, lines: &[u8]) -> bool {
         let now = self.hub.clock.now();
         lines::whole(lines).all(|line| {
-            if self.unanswered.len() < self.hub.limits.unanswered {
+            if self.unanswered.len() < self.hub.limits().unanswered {
                 self.unanswered.push_back(now);
             }
-            line.len() <= self.hub.limits.line
+            line.len() <= self.hub.limits().line
         })
     }
 
     async fn backend_lines(&mut self, lines: &[u8]) -> bool {
         for line in lines::whole(lines) {
-            if line.len() > self.hub.limits.line {
+            if line.len() > self.hub.limits().line {
                 return false;
             }
-            match lines::said(line, self.hub.order) {
+            match lines::said(line, self.hub.order()) {
                 Said::Load(load) => self.hub.tell(Event::Load { sess: self.conn, load }).await,
                 Said::Bye(report) => self.last = Some((DialEnd::Ok, report)),
                 Said::Move => self.last = Some((DialEnd::Recalled, None)),
@@ -93,9 +93,9 @@
     hub: &Hub,
 ) {
     let Backend { stream: backend, buffer: mut down, up: receipt } = backend;
-    let patience = hub.limits.silence;
+    let patience = hub.limits().silence;
     let mut ear = Ear { conn, hub, unanswered: VecDeque::new(), doubt: None, patience, last: None };
-    let over = if end::write(&client, &receipt, hub.limits.stuck).await {
+    let over = if end::write(&client, &receipt, hub.limits().stuck).await {
         drop(receipt);
         let fit = ear.client_lines(up.lines()) && ear.backend_lines(down.lines()).await;
         if fit {
@@ -109,7 +109,7 @@
     match over {
         Over::ClientEnded => {
             hub.tell(Event::Gone { sess: conn }).await;
-            if end::write(&backend, up.lines(), hub.limits.end).await {
+            if end::write(&backend, up.lines(), hub.limits().end).await {
                 end::orderly(backend, hub).await;
             }
         }
@@ -144,7 +144,7 @@
     commands: &mut Receiver<Command>,
     ear: &mut Ear<'_>,
 ) -> Over {
-    let (limits, clock) = (&ear.hub.limits, ear.hub.clock);
+    let (limits, clock) = (ear.hub.limits(), ear.hub.clock);
     let (first, most) = (limits.buffer_first, limits.line + lines::END.len());
     // Since when the client has taken nothing of what waits for it.
     let mut held: Option<Micros> = None;
--- a/relay/src/net/probe.rs
+++ b/relay/src/net/probe.rs
@@ -15,7 +15,7 @@
     let mut kept: Option<(SocketAddr, TcpStream, Buffer)> = None;
     loop {
         let next = if kept.is_some() {
-            match timeout(span(hub.limits.probe_idle), asked.recv()).await {
+            match timeout(span(hub.limits().probe_idle), asked.recv()).await {
                 Ok(next) => next,
                 Err(_) => {
                     kept = None;
@@ -30,14 +30,15 @@
         let one = async {
             let (stream, mut buffer) = match usable {
                 Some((_, stream, buffer)) => (stream, buffer),
-                None => {
-                    (connect(addr, &hub).await?, Buffer::new(hub.limits.buffer_first, hub.limits.buffer_most))
-                }
+                None => (
+                    connect(addr, &hub).await?,
+                    Buffer::new(hub.limits().buffer_first, hub.limits().buffer_most),
+                ),
             };
             let report = ask(&stream, &mut buffer, &hub).await?;
             Ok((report, (addr, stream, buffer)))
         };
-        let (end, report) = match timeout(span(hub.limits.probe), one).await {
+        let (end, report) = match timeout(span(hub.limits().probe), one).await {
             Ok(Ok((report, connection))) => {
                 kept = Some(connection).filter(|_| keep);
                 (DialEnd::Ok, report)
@@ -58,7 +59,7 @@
 type Fault = (DialEnd, Option<Report>);
 
 async fn connect(addr: SocketAddr, hub: &Hub) -> Result<TcpStream, Fault> {
-    match timeout(span(hub.limits.connect), TcpStream::connect(addr)).await {
+    match timeout(span(hub.limits().connect), TcpStream::connect(addr)).await {
         Ok(Ok(stream)) => {
             _ = stream.set_nodelay(true);
             Ok(stream)
@@ -68,12 +69,12 @@
 }
 
 async fn ask(stream: &TcpStream, buffer: &mut Buffer, hub: &Hub) -> Result<Option<Report>, Fault> {
-    let limits = &hub.limits;
+    let limits = hub.limits();
     if !end::write(stream, lines::STATS, limits.probe).await {
         return Err((DialEnd::Reset, None));
     }
     let answer = read::line(stream, buffer, limits.line).await.map_err(|_| (DialEnd::Reset, None))?;
-    match lines::said(&answer, hub.order) {
+    match lines::said(&answer, hub.order()) {
         Said::Pong(report) => Ok(report),
         Said::Busy(report) => Err((DialEnd::Full, report)),
         Said::Error(report) => Err((DialEnd::Error, report)),
--- a/relay/src/net/serve.rs
+++ b/relay/src/net/serve.rs
@@ -58,8 +58,7 @@
         // Enough for what a peer sends at full speed between two reads.
         waste: Rc::new(RefCell::new(vec![0; 1 << 16])),
         last_id: Rc::new(Cell::new(0)),
-        limits,
-        order: node.site.report,
+        tuned: Rc::new(RefCell::new((Rc::new(limits), node.site.report))),
         clock,
         log: log.clone(),
     };
@@ -201,6 +200,9 @@
                 Effect::Unwatch { watch } => {
                     self.watches.remove(&watch).inspect(AbortHandle::abort);
                 }
+                Effect::Tuned { limits, order } => {
+                    *self.hub.tuned.borrow_mut() = (Rc::new(*limits), order);
+                }
                 Effect::Kept { key } => {
                     slog::warn!(self.hub.log, "a change that only a new start brings"; "key" => key);
                 }
@@ -249,7 +251,7 @@
     }
 
     fn probe(&mut self, server: ServerId, addr: SocketAddr) {
-        let keep = self.probes.len() < self.hub.limits.probes;
+        let keep = self.probes.len() < self.hub.limits().probes;
         let to = self.probes.entry(server).or_insert_with(|| {
             // The module asks for one probe of a server at a time.
             let (to, asked) = mpsc::channel(1);
--- a/relay/src/reducer/duty.rs
+++ b/relay/src/reducer/duty.rs
@@ -189,9 +189,10 @@
             if empty && (since >= limits.stop_least || self.duty == Leaving) {
                 return out.push(Effect::Exit);
             }
-        } else if since >= by {
+        }
+        if since >= by {
             self.give_up(out);
-            if self.sessions.is_empty() && !self.takes() {
+            if self.draining().is_some() && self.sessions.is_empty() && !self.takes() {
                 return;
             }
         }
@@ -206,7 +207,7 @@
         out.push(Effect::Alarm { after: TICK, alarm: Alarm::Emptying(self.round) });
     }
 
-    /// Who waits for an answer still as a drain ends gets it: a refusal where nothing was sent, else a failure.
+    /// Who waits for an answer still as a drain or a stop ends (its dial timeout may be of older settings) gets it: a refusal where nothing was sent, else a failure.
     fn give_up(&mut self, out: &mut Vec<Effect>) {
         let waiting = |s: &super::Sess| matches!(s.stage, Stage::Admit | Stage::Dial);
         let left: Vec<SessId> = self.sessions.iter().filter(|(_, s)| waiting(s)).map(|(id, _)| *id).collect();
--- a/relay/src/reducer/mod.rs
+++ b/relay/src/reducer/mod.rs
@@ -15,6 +15,8 @@
 use duty::{Duty, Sign};
 use hallrelay::logic::Relay;
 use hallrelay::types::{self as module, Asked, DialEnd, Input, Micros, Report, ServerId, SessId};
+use hallrelay_config::facts::ReportOrder;
+use hallrelay_config::limits::Limits;
 use hallrelay_config::list::{Instance, List};
 use hallrelay_config::node::Node;
 use hallrelay_handover::place::{self as handover, Peer, Place};
@@ -227,6 +229,11 @@
     GiveUp {
         why: String,
     },
+    /// What tasks go by from now on.
+    Tuned {
+        limits: Box<Limits>,
+        order: ReportOrder,
+    },
     /// A key of a new configuration that can't change while the program runs.
     Kept {
         key: &'static str,
--- a/relay/src/reducer/watch.rs
+++ b/relay/src/reducer/watch.rs
@@ -3,6 +3,7 @@
 use hallrelay::types::{Input, ListKind};
 use hallrelay_config::list::List;
 use hallrelay_config::node::Node;
+use std::net::SocketAddr;
 
 impl Reducer {
     pub(super) fn ask_list(&mut self, out: &mut Vec<Effect>) {
@@ -34,14 +35,39 @@
         }
     }
 
-    /// Guards a relay whose discovery moves: the new place is asked for the whole list at once, since the old
-    /// one's versions may mean nothing there, and the old watch goes on telling till the new one speaks.
+    /// A new configuration, whole and checked. What can't change while the program runs is named.
     pub(super) fn reload(&mut self, node: Node, out: &mut Vec<Effect>) {
         out.extend(self.node.fixed(&node).into_iter().map(|key| Effect::Kept { key }));
-        if node.discovery == self.node.discovery {
+        self.tune(&node, out);
+        self.ask_at(node.discovery, out);
+    }
+
+    /// Takes over new settings. Who is here keeps the rules that it came under: its row of the module's listeners
+    /// is its own, and its dial timeout is in its due time.
+    fn tune(&mut self, node: &Node, out: &mut Vec<Effect>) {
+        let site = &node.site;
+        let Ok(limits) = self.node.limits_for(site) else { return };
+        if *site == self.node.site {
+            return;
+        }
+        let zones = site.zones != self.node.site.zones;
+        self.figures.name(&site.listeners);
+        self.node.tune(site.clone(), limits);
+        self.tell(Input::Facts(Box::new(self.node.site.facts.clone())), out);
+        out.push(Effect::Tuned { limits: Box::new(limits), order: self.node.site.report });
+        if zones {
+            // The same servers, at other places of the zones' list.
+            let instances = self.servers.values().map(|v| v.told.clone()).collect();
+            self.list(List { generation: 0, whole: true, instances }, out);
+        }
+    }
+
+    /// Guards a relay whose discovery moves: the new place is asked for the whole list at once, since the old
+    /// one's versions may mean nothing there, and the old watch goes on telling till the new one speaks.
+    fn ask_at(&mut self, discovery: SocketAddr, out: &mut Vec<Effect>) {
+        if std::mem::replace(&mut self.node.discovery, discovery) == discovery {
             return;
         }
-        self.node.discovery = node.discovery;
         let w = &mut self.watch;
         if std::mem::take(&mut w.out) {
             match w.before {
--- a/relay/tests/operations.rs
+++ b/relay/tests/operations.rs
@@ -200,3 +200,46 @@
     new.until_ready();
     assert!(Client::open(site.listen, "low").expect("a session").echoes());
 }
+
+/// New settings under open sessions; what is wrong in a file keeps all of it from being used.
+#[test]
+fn settings_are_retuned_whole_or_not_at_all() {
+    let site = Site::new("retune");
+    let relay = site.start();
+    relay.until_ready();
+    let mut old = Client::open(site.listen, "low").expect("a session");
+    let mut text = site.text.clone();
+    text["settings"]["Listeners"] = serde_json::json!([
+        common::listener("once", 5.0, "retryable"),
+        common::listener("new", 1.0, "fragile")
+    ]);
+    let whole = text.to_string();
+    let (mut late, mut dials, mut short) = (text.clone(), text.clone(), text.clone());
+    late["settings"]["Listeners"][0]["DialTimeout"] = serde_json::json!(-5);
+    dials["settings"]["Ceilings"]["MostDials"] = serde_json::json!(0);
+    short["settings"].as_object_mut().expect("settings").remove("Rules");
+    // A new place of discovery in a file with a bad key does not hold either.
+    short["discovery"] = serde_json::json!("127.0.0.1:1");
+    let broken = [
+        String::new(),
+        whole[..whole.len() / 2].to_string(),
+        late.to_string(),
+        dials.to_string(),
+        short.to_string(),
+    ];
+    for (i, text) in broken.iter().enumerate() {
+        std::fs::write(&relay.path, text).expect("a file");
+        relay.signal("HUP");
+        common::until("it is counted", || relay.figure("load_errors") == Some(i as u64 + 1));
+        assert!(matches!(Client::open(site.listen, "new"), Err(Miss::Said(word)) if word == "ERR"), "{text}");
+        assert!(Client::open(site.listen, "low").expect("a session").echoes());
+    }
+    std::fs::write(&relay.path, &whole).expect("a file");
+    relay.signal("HUP");
+    common::until("it is used", || relay.figure("loads") == Some(1));
+    assert!(Client::open(site.listen, "new").expect("a session").echoes());
+    assert!(matches!(Client::open(site.listen, "low"), Err(Miss::Said(word)) if word == "ERR"));
+    assert!(old.echoes());
+    assert_eq!(relay.figure("passed.new"), Some(1));
+    assert_eq!(relay.figure("passed.low"), Some(6));
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -5,6 +5,7 @@
 use crate::tools::{mix, Chance, Flow, Least, Ring};
 use crate::types::*;
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use {Act::*, Sign::*, State::*};
 
 /// Where a session stands; `Weighed` lasts only within a step.
@@ -65,9 +66,17 @@
     flow: Flow,
 }
 
+/// What a session may do: as its listener was when it came, whatever the site's facts are by now.
+#[derive(Default)]
+struct Rule {
+    listener: Listener,
+    most_dials: u32,
+}
+
 #[derive(Default)]
 struct Sess {
     asked: Asked,
+    rule: Rc<Rule>,
     salt: u64, // what its pool is ranked by: its group, or chance
     due: Micros,
     state: State,
@@ -98,6 +107,7 @@
 #[derive(Default)]
 pub struct Relay {
     site: SiteFacts,
+    rules: Vec<Rc<Rule>>, // a row for each listener, shared by its sessions
     rng: Chance,
     now: Micros,
     started: bool,
@@ -122,11 +132,19 @@
 
 impl Relay {
     pub fn new(site: SiteFacts, seed: u64) -> Relay {
+        // Before anything is known a session counts as a fiftieth of a server.
+        let gauge = Gauge { step: 0.02, ..Gauge::default() };
+        let mut relay = Relay { rng: Chance::new(seed), gauge, ..Relay::default() };
+        relay.facts(site);
+        relay
+    }
+
+    fn facts(&mut self, site: SiteFacts) {
         const ALPHA_CONG: f64 = 0.0; // the target itself: tried 0, 0.5 and 1.5, the earliest was best
         let target = site.listeners.iter().map(|l| l.message_target).min().unwrap_or(SECOND) as f64 / 1e6;
-        // Before anything is known a session counts as a fiftieth of a server.
-        let (bar, gauge) = (target * (1.0 + ALPHA_CONG), Gauge { step: 0.02, ..Gauge::default() });
-        Relay { site, rng: Chance::new(seed), bar, gauge, ..Relay::default() }
+        let rule = |listener: &Listener| Rule { listener: listener.clone(), most_dials: site.most_dials };
+        self.rules = site.listeners.iter().map(|listener| Rc::new(rule(listener))).collect();
+        (self.bar, self.site, self.gauge.until) = (target * (1.0 + ALPHA_CONG), site, self.now);
     }
 
     pub fn step(&mut self, now: Micros, input: Input, out: &mut Vec<Effect>) {
@@ -137,6 +155,11 @@
         }
         match input {
             Input::List { kind, entries } => self.list(kind, entries, out),
+            Input::Facts(site) => {
+                let probes = site.may_probe && !self.site.may_probe;
+                self.facts(*site);
+                out.extend(probes.then_some(Effect::Alarm { after: 1, label: PROBE }));
+            }
             Input::Remember { step, servers } => self.remember(step, servers),
             Input::Asked { sess, asked } => {
                 self.take(sess, Sess { asked, ..Sess::default() });
@@ -207,8 +230,8 @@
     }
 
     fn take(&mut self, sess: SessId, mut s: Sess) {
-        s.asked.listener = s.asked.listener.min(self.site.listeners.len() - 1);
-        let target = self.site.listeners[s.asked.listener].handshake_target;
+        s.rule = self.rules[s.asked.listener.min(self.rules.len() - 1)].clone();
+        let target = s.rule.listener.handshake_target;
         (s.due, s.wait_until) = (self.now + s.asked.left, self.now + target.min(s.asked.left) / 2);
         s.asked.group *= u64::from(self.site.groups);
         (s.weight, s.salt) = (1.0, if s.asked.group != 0 { s.asked.group } else { self.rng.draw() });
@@ -287,11 +310,11 @@
         let g = self.gauge();
         let s = &self.sessions[&sess];
         // Rule 2: a refusal says that trying again is harmless, which is so only where nothing ran unknown.
-        let repeat = self.site.listeners[s.asked.listener].repeat;
+        let repeat = s.rule.listener.repeat;
         let known = matches!(repeat, Repeat::Repeatable | Repeat::Referenced { within: Within::All, .. });
         let give_up = if known || s.ran.is_none() { Shut } else { Stuck };
-        let over = self.now >= s.due || s.dials >= self.site.most_dials;
-        let shut = s.dials == 0 && !self.admits(&s.asked, &g);
+        let over = self.now >= s.due || s.dials >= s.rule.most_dials;
+        let shut = s.dials == 0 && !self.admits(s, &g);
         // Guards relays of few sessions, which would refuse by the answers of long ago, and ask for none.
         let stale = g.age > 2 * LAG && self.now < s.wait_until;
         let pool_for = |only_turns| if over { vec![] } else { self.pool(s, &g, only_turns) };
@@ -317,9 +340,9 @@
     }
 
     /// HEU, as on the design page.
-    fn admits(&self, asked: &Asked, g: &Gauge) -> bool {
+    fn admits(&self, s: &Sess, g: &Gauge) -> bool {
         const K_RESERVED: f64 = 0.15; // kept for high utility; tried 0.25, 0.35: alike but for how C is read
-        let (n, c_id, high) = (f64::from(self.n), f64::from(self.site.max_open), self.high(asked));
+        let (n, c_id, high) = (f64::from(self.n), f64::from(self.site.max_open), self.high(s));
         let (t_servers, t_id) = (g.c * (1.0 - K_RESERVED), c_id * (1.0 - K_RESERVED));
         // With no server that answers there is nothing to test: placement finds what may still live.
         g.c == 0.0
@@ -328,10 +351,10 @@
     }
 
     /// The set utility from which a listener counts as high: halfway, so that any two are told apart.
-    fn high(&self, asked: &Asked) -> bool {
+    fn high(&self, s: &Sess) -> bool {
         let utilities = self.site.listeners.iter().map(|l| l.utility);
         let (low, top) = utilities.fold((f64::MAX, 0.0f64), |(a, b), u| (a.min(u), b.max(u)));
-        self.site.listeners[asked.listener].utility >= (low + top) / 2.0
+        s.rule.listener.utility >= (low + top) / 2.0
     }
 
     /// Read from the servers with fresh answers, as a sample of all that are ready and not silent.
@@ -424,7 +447,7 @@
     /// Rule 2: whether a session may be dialled at a server, after what may have run already.
     fn legal(&self, s: &Sess, at: &Entry) -> bool {
         let Some((since, zone, cell)) = s.ran else { return true };
-        match self.site.listeners[s.asked.listener].repeat {
+        match s.rule.listener.repeat {
             Repeat::Repeatable => true,
             Repeat::OnceOnly => false,
             Repeat::Referenced { within, window } => {
@@ -491,9 +514,9 @@
         let Some(s) = self.sessions.get_mut(&sess) else { return };
         (s.dials, s.dialled, s.weight) = (s.dials + 1, self.now, 1.0);
         s.tried.push(s.server);
-        let (server, left, listener) = (s.server, s.due - self.now, &self.site.listeners[s.asked.listener]);
+        let (server, left, listener) = (s.server, s.due - self.now, &s.rule.listener);
         // A dial gets its handshake target, doubled with each dial; the last one all that is left.
-        let last = s.dials >= self.site.most_dials || listener.repeat != Repeat::Repeatable;
+        let last = s.dials >= s.rule.most_dials || listener.repeat != Repeat::Repeatable;
         let wait = if last { left } else { left.min(listener.handshake_target << s.dials.min(8)) };
         out.push(Effect::Dial { sess, server, wait });
         self.count(sess, 1);
@@ -575,6 +598,9 @@
 
     /// One probe, where more is saved up than six sessions need (1, 3, 12 tried), and the next beat.
     fn beat(&mut self, out: &mut Vec<Effect>) {
+        if !self.site.may_probe {
+            return;
+        }
         let spare = self.credit - 6.0 * POOL as f64;
         // What is saved up is spent over some eight seconds, no faster than twice a second on each server.
         let least = SECOND as f64 / 2.0 / self.servers.len().max(1) as f64;
@@ -618,7 +644,7 @@
         let last = |s: &Sess| self.groups.get(&(server, s.asked.group)) == Some(&1);
         let frees = |s: &Sess| s.weight + if last(s) { GROUP } else { 0.0 };
         let open = self.sessions.iter().filter(|(_, s)| s.server == server && s.state == Open);
-        let mut mine: Vec<_> = open.map(|(&id, s)| (shed && self.high(&s.asked), frees(s), id)).collect();
+        let mut mine: Vec<_> = open.map(|(&id, s)| (shed && self.high(s), frees(s), id)).collect();
         mine.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.total_cmp(&a.1)));
         // The way down to the others' mean, in own sessions: half of it, or all where messages here are late.
         let late = shed || self.tier(v, &[]) > 0 && g.x_busy < FULL * g.c - g.x_cong;
--- a/src/types.rs
+++ b/src/types.rs
@@ -6,8 +6,9 @@
 pub type ServerId = u32;
 
 /// What running a session's dial twice would do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Repeat {
+    #[default]
     Repeatable,
     /// Repeats are dropped inside the group, for `window` after the first dial that may have run.
     Referenced {
@@ -25,7 +26,7 @@
     Cell,
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Listener {
     pub utility: f64,
     pub repeat: Repeat,
@@ -141,6 +142,8 @@
 
 #[derive(Clone, Debug)]
 pub enum Input {
+    /// The site's facts have changed; sessions keep the rules that they came under.
+    Facts(Box<SiteFacts>),
     /// What another process knew, whose place this relay takes; `step`, one session's part of a server.
     Remember {
         step: f64,
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -6,9 +6,9 @@
 //!   `gone SESS`, `up SESS DIAL`, `fell SESS DIAL HOW`, `ended SESS HOW`, `took SESS MS`, `load SESS X`,
 //!   `written SESS`, `unfit`, `peer NUMBER hello|ready|left`, `call NUMBER ready|figures|drain|activate`,
 //!   `list full|changes VERSION NAME[:draining|:gone] ..`,
-//!   `list broken` (of the newest watch, or of=WATCH), `reload PORT [KEY=VALUE]`,
+//!   `list broken` (of the newest watch, or of=WATCH), `reload PORT [KEY=VALUE]`, `retune LISTENER:EFFECT .. [dials=N]`,
 //!   `probe NAME HOW|load=X [piled=X]`, `stop`, `run`. `first LINE` and `said LINE` show what a parser makes
-//!   of a line, `node KEY..` what is said where that key of the configuration is missing.
+//!   of a line, `node KEY..` what is said where that key of the configuration is missing, or `=VALUE` behind it.
 //! `Loopback` is the program on sockets of 127.0.0.1. A line is `WHO DEED [TEXT]`: letters are clients,
 //! digits are backends (`1` and `2`, known from the start), `list` is discovery and `moved` where it may move
 //! to, a star is anything. Deeds:
@@ -33,11 +33,12 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+fn listener(name: &str, utility: f64, kind: &str) -> Value {
+    json!({"Name": name, "Utility": utility, "Effect": kind, "Group": "all", "Window": 1000,
+        "HandshakeTarget": 300, "DialTimeout": 2000})
+}
+
 fn text(listen: &str, discovery: &str, backends: &[(String, String)]) -> Value {
-    let listener = |name: &str, utility: f64, kind: &str| {
-        json!({"Name": name, "Utility": utility, "Effect": kind, "Group": "all", "Window": 1000,
-            "HandshakeTarget": 300, "DialTimeout": 2000})
-    };
     let instance =
         |(id, addr): &(String, String)| json!({"instanceId": id, "hostPort": addr, "lifecycle": "up"});
     let known: Vec<Value> = backends.iter().map(instance).collect();
@@ -208,6 +209,18 @@
                 }
                 Event::Reload(Box::new(node(&text)?))
             }
+            "retune" => {
+                let mut text = self.text("127.0.0.1:2");
+                let settings = &mut text["settings"];
+                let names = words[1..].iter().filter_map(|word| word.split_once(':'));
+                let listeners: Vec<Value> = names.map(|(name, kind)| listener(name, 1.0, kind)).collect();
+                settings["FamilyInfo"]["MessageAim"] = json!(vec![60; listeners.len()]);
+                settings["Listeners"] = json!(listeners);
+                if let Some(dials) = option(words, "dials") {
+                    settings["Ceilings"]["MostDials"] = json!(num::<u32>(dials)?);
+                }
+                Event::Reload(Box::new(node(&text)?))
+            }
             other => return Err(format!("unknown input '{other}'")),
         }])
     }
@@ -266,8 +279,20 @@
             "node" => {
                 let mut text = self.text("127.0.0.1:2");
                 let (key, path) = words[1..].split_last().ok_or("which key?")?;
-                let place = path.iter().fold(&mut text, |at, key| &mut at[*key]);
-                place.as_object_mut().ok_or("no such place")?.remove(*key);
+                let (path, value) = match key.strip_prefix('=') {
+                    Some(value) => (&path[..path.len() - 1], Some((path[path.len() - 1], value))),
+                    None => (path, None),
+                };
+                let place = path.iter().fold(&mut text, |at, key| match key.parse::<usize>() {
+                    Ok(i) => &mut at[i],
+                    Err(_) => &mut at[*key],
+                });
+                match value {
+                    Some((key, value)) => {
+                        place[key] = serde_json::from_str(value).map_err(|e| e.to_string())?;
+                    }
+                    None => _ = place.as_object_mut().ok_or("no such place")?.remove(*key),
+                }
                 self.said.push(node(&text).err().unwrap_or("nothing".to_string()));
             }
             _ => {
@@ -306,6 +331,7 @@
             Effect::Watch { since: Some(since), .. } => format!("watch since {since}"),
             Effect::Watch { addr, since: None, .. } => format!("ask {} for all and watch", addr.port()),
             Effect::Unwatch { watch } => format!("unwatch {watch}"),
+            Effect::Tuned { .. } => "tuned".to_string(),
             Effect::Kept { key } => format!("kept {key}"),
             Effect::Alarm { .. } => "alarm".to_string(),
             Effect::Accept { on } => if *on { "accept" } else { "leave the door" }.to_string(),
