Open sessions pass to the new process with both their sockets; nobody is moved

Change: after the one step in which the place passes, each open session goes over the Unix socket with its client's and its backend's socket, what is buffered either way and the times of unanswered messages; one that comes up later passes as it does. A session that can't be sent comes back to its task. The new process tells the module that it was open before. A drain's sessions do not pass, they move.

--- a/config/src/limits.rs
+++ b/config/src/limits.rs
@@ -59,6 +59,8 @@
     pub drain_takes: Micros,
     /// Other processes at the door at once, and how long a running one may take to offer its place.
     pub visitors: usize,
+    /// Messages and sessions on their way to another process.
+    pub passing: usize,
     pub offer: Micros,
     /// The same of a process that another has replaced, from SIGTERM on.
     pub leave_from: Micros,
@@ -141,6 +143,8 @@
             drain_takes: 1_000 * MS,
             // One to take the place, and some that are told no meanwhile.
             visitors: 3,
+            // Those beyond wait in their tasks.
+            passing: 64,
             // It is one message within one machine; operators give a new process 6 s in all.
             offer: 2_000 * MS,
             // The next process is there for whoever is moved: nothing is gained by waiting.
--- a/handover/src/message.rs
+++ b/handover/src/message.rs
@@ -7,6 +7,9 @@
 /// Some ten thousand servers and open marks.
 pub const LONGEST: usize = 4 << 20;
 const NAME: usize = 256;
+/// What a connection's buffer may hold either way.
+const BYTES: usize = 64 << 10;
+const UNANSWERED: usize = 64;
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
@@ -21,6 +24,8 @@
     Ready {},
     /// From here on the new process takes all that comes.
     Yours(Box<State>),
+    /// An open session passes on; its client's socket and its backend's come beside this.
+    Session(Box<Session>),
     /// What the old process holds still: connections of clients, and sessions among them.
     Holds { connections: u32, sessions: u32 },
 }
@@ -40,6 +45,23 @@
     pub connections: u32,
 }
 
+/// An open session: what the new process needs to go on between two bytes.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Session {
+    pub mark: u64,
+    pub listener: String,
+    pub server: String,
+    pub key: u64,
+    pub group: u64,
+    pub returned: bool,
+    /// Bytes on their way to the backend and to the client.
+    pub up: Vec<u8>,
+    pub down: Vec<u8>,
+    /// How long ago messages came whose answers are awaited, in microseconds.
+    pub unanswered: Vec<u64>,
+}
+
 /// A session that the old process keeps.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -84,6 +106,12 @@
         Message::Hello { name, listen, .. } if name.len() > NAME || listen.len() > NAME => {
             Err(format!("a name is over {NAME} bytes"))
         }
+        Message::Session(s) if s.up.len().max(s.down.len()) > BYTES || s.unanswered.len() > UNANSWERED => {
+            Err("a session with too much under way".to_string())
+        }
+        Message::Session(s) if s.listener.len().max(s.server.len()) > NAME => {
+            Err(format!("a name is over {NAME} bytes"))
+        }
         Message::Yours(state) => state.check().map(|()| message),
         _ => Ok(message),
     }
--- a/lab/src/virt.rs
+++ b/lab/src/virt.rs
@@ -606,7 +606,8 @@
                 Effect::Forget { .. } | Effect::Kept { .. } | Effect::Tuned { .. } => {}
                 // A virtual relay is one process all its life, and nobody waits at its socket.
                 Effect::Accept { .. } | Effect::Door { .. } | Effect::Note { .. } => {}
-                Effect::Tell { .. } | Effect::Part { .. } | Effect::GiveUp { .. } => {}
+                Effect::Tell { .. } | Effect::Part { .. } | Effect::PassOn { .. } | Effect::GiveUp { .. } => {
+                }
             }
         }
     }
--- a/relay/src/buffer.rs
+++ b/relay/src/buffer.rs
@@ -19,6 +19,21 @@
         Buffer { bytes: vec![0; first], from: 0, till: 0, seen: 0, whole: 0, fresh: 0, most }
     }
 
+    /// One that goes on with what another process had read and not yet written.
+    pub fn holding(bytes: &[u8], first: usize, most: usize) -> Buffer {
+        let mut buffer = Buffer::new(first.max(bytes.len()), most.max(bytes.len()));
+        buffer.bytes[..bytes.len()].copy_from_slice(bytes);
+        buffer.till = bytes.len();
+        buffer.whole = bytes.windows(2).rposition(|w| w == b"\r\n").map_or(0, |at| at + 2);
+        (buffer.fresh, buffer.seen) = (buffer.whole, buffer.whole.max(buffer.till.saturating_sub(1)));
+        buffer
+    }
+
+    /// All that is not taken, whole lines or not.
+    pub fn rest(&self) -> &[u8] {
+        &self.bytes[self.from..self.till]
+    }
+
     pub fn has_room(&self) -> bool {
         self.till - self.from < self.most
     }
--- a/relay/src/net/admit.rs
+++ b/relay/src/net/admit.rs
@@ -88,7 +88,7 @@
             Command::Answer(line) => return end::answer(client, &line, &mut commands, hub).await,
             // What was on its way before is moot.
             Command::Dial { .. } | Command::Pong(_) | Command::Shed | Command::Doubt(_) => {}
-            Command::Pass | Command::Move | Command::Close => return,
+            Command::Pass | Command::Move | Command::PassOn(..) | Command::Close => return,
         }
     }
 }
--- a/relay/src/net/handover.rs
+++ b/relay/src/net/handover.rs
@@ -1,17 +1,18 @@
 //! The Unix socket over which a process gives its place to the next one: in `$TMPDIR`, open to its owner alone,
 //! a line of JSON a message, the listening socket beside the offer.
-use super::Hub;
+use super::{pass, Hub};
 use crate::clock::span;
 use crate::reducer::Event;
-use hallrelay_config::limits::Limits;
+use hallrelay::types::SessId;
 use hallrelay_config::node::Node;
 use hallrelay_handover::message::{decode, encode, LONGEST, VERSION};
 use hallrelay_handover::place::{Event as Heard, Peer};
-use hallrelay_handover::Message;
+use hallrelay_handover::{Message, Session};
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
 };
+use std::collections::VecDeque;
 use std::io::{self, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
 use std::net::TcpListener as Listener;
@@ -21,12 +22,15 @@
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::Arc;
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
-use tokio::net::{TcpListener, UnixListener, UnixStream};
-use tokio::sync::{mpsc, Semaphore};
+use tokio::io::Interest;
+use tokio::net::{TcpListener, TcpStream, UnixListener, UnixStream};
+use tokio::sync::{mpsc, oneshot, Semaphore};
+use tokio::time::timeout;
 
 /// The process before this one, as the reducer knows it; those after it are counted from here.
 pub const BEFORE: Peer = 0;
+/// The most sockets beside one message: a session's client and its backend.
+const SOCKETS: usize = 2;
 
 /// Where processes of one relay meet; none where there is no place for it, with the reason.
 pub fn door(node: &Node) -> Result<PathBuf, &'static str> {
@@ -62,7 +66,7 @@
     if io::Write::write_all(&mut &talk, &hello).is_err() {
         return Ok(None);
     }
-    let (mut line, mut passed) = (Vec::new(), None);
+    let (mut line, mut passed) = (Vec::new(), VecDeque::new());
     while !line.ends_with(b"\n") {
         match receive(talk.as_fd(), &mut line, &mut passed) {
             Ok(1..) if line.len() <= LONGEST => {}
@@ -74,7 +78,7 @@
     match decode(line.trim_ascii_end())? {
         Message::No { why } => Err(format!("the running process keeps its place: {why}")),
         Message::Offer { .. } => {
-            let listener = Listener::from(passed.ok_or("the offer came without a socket")?);
+            let listener = Listener::from(passed.pop_front().ok_or("the offer came without a socket")?);
             match listener.local_addr() {
                 Ok(at) if at == node.listen => Ok(Some(Offer { talk, listener })),
                 _ => Err(format!("the running process does not listen on {}", node.listen)),
@@ -84,30 +88,80 @@
     }
 }
 
-fn receive(from: BorrowedFd, line: &mut Vec<u8>, passed: &mut Option<OwnedFd>) -> io::Result<usize> {
-    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+/// Reads once, and keeps the sockets that came beside the bytes, in their order.
+fn receive(from: BorrowedFd, line: &mut Vec<u8>, passed: &mut VecDeque<OwnedFd>) -> io::Result<usize> {
+    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(SOCKETS))];
     let mut beside = RecvAncillaryBuffer::new(&mut space);
-    let mut bytes = [0; 4096];
+    let mut bytes = [0; 16_384];
     let got = recvmsg(from, &mut [IoSliceMut::new(&mut bytes)], &mut beside, RecvFlags::CMSG_CLOEXEC)?;
     for message in beside.drain() {
-        if let RecvAncillaryMessage::ScmRights(mut sockets) = message {
-            *passed = sockets.next();
+        if let RecvAncillaryMessage::ScmRights(sockets) = message {
+            passed.extend(sockets);
         }
     }
     line.extend_from_slice(&bytes[..got.bytes]);
     Ok(got.bytes)
 }
 
-fn send(to: BorrowedFd, line: &[u8], socket: BorrowedFd) -> io::Result<usize> {
-    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+/// Writes once; the sockets go with the first byte.
+fn send(to: BorrowedFd, line: &[u8], sockets: &[BorrowedFd]) -> io::Result<usize> {
+    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(SOCKETS))];
     let mut beside = SendAncillaryBuffer::new(&mut space);
-    let sockets = [socket];
-    beside.push(SendAncillaryMessage::ScmRights(&sockets));
+    beside.push(SendAncillaryMessage::ScmRights(sockets));
     Ok(sendmsg(to, &[IoSlice::new(line)], &mut beside, SendFlags::NOSIGNAL)?)
 }
 
+/// Says a line whole, within the time in which a process must listen.
+async fn say(stream: &UnixStream, line: &[u8], sockets: &[BorrowedFd<'_>], hub: &Hub) -> bool {
+    let all = async {
+        let mut from = 0;
+        while from < line.len() {
+            stream.writable().await?;
+            let beside = if from == 0 { sockets } else { &[] };
+            let wrote = stream.try_io(Interest::WRITABLE, || match beside {
+                [] => rustix::io::write(stream, &line[from..]).map_err(io::Error::from),
+                _ => send(stream.as_fd(), line, beside),
+            });
+            match wrote {
+                Ok(count) => from += count,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(())
+    };
+    matches!(timeout(span(hub.limits().offer), all).await, Ok(Ok(())))
+}
+
+/// What goes to another process.
+pub enum Out {
+    Say(Message),
+    /// A session; whether it is gone, or comes back with its sockets.
+    Pass(Passed, oneshot::Sender<Result<(), Passed>>),
+}
+
+/// An open session on its way, with its two sockets.
+pub struct Passed {
+    pub session: Box<Session>,
+    pub client: TcpStream,
+    pub backend: TcpStream,
+}
+
+/// Passes a session on to another process; where that is not there any more, it comes back.
+pub async fn pass(peer: Peer, conn: SessId, passed: Passed, hub: &Hub) -> Result<(), Option<Passed>> {
+    let way = hub.peers.borrow().get(&peer).cloned();
+    let Some(way) = way else { return Err(Some(passed)) };
+    let (told, gone) = oneshot::channel();
+    slog::trace!(hub.log, "a session passes to another process"; "conn" => conn);
+    match way.send(Out::Pass(passed, told)).await {
+        Ok(()) => gone.await.map_err(|_| None)?.map_err(Some),
+        Err(mpsc::error::SendError(Out::Pass(passed, _))) => Err(Some(passed)),
+        Err(_) => Err(None),
+    }
+}
+
 /// Waits at the door for other processes, till it is dropped.
-pub async fn wait(path: PathBuf, listener: Rc<TcpListener>, guests: mpsc::Sender<Guest>, hub: Hub) {
+pub async fn wait(path: PathBuf, listener: Rc<TcpListener>, hub: Hub) {
     let door = match open(&path) {
         Ok(door) => door,
         Err(e) => {
@@ -127,10 +181,8 @@
             continue;
         }
         last = last.wrapping_add(1).max(BEFORE + 1);
-        let (to, said) = mpsc::channel(hub.limits().commands);
-        if guests.send(Guest { peer: last, to }).await.is_err() {
-            return;
-        }
+        let (to, said) = mpsc::channel(hub.limits().passing);
+        hub.peers.borrow_mut().insert(last, to);
         let (hub, listener) = (hub.clone(), listener.clone());
         tokio::task::spawn_local(async move {
             talk(last, stream, said, Some(listener), hub).await;
@@ -139,12 +191,6 @@
     }
 }
 
-/// A process that came to the door, and the way to it.
-pub struct Guest {
-    pub peer: Peer,
-    pub to: mpsc::Sender<Message>,
-}
-
 fn open(path: &Path) -> io::Result<UnixListener> {
     match std::fs::symlink_metadata(path) {
         // One that nobody answers at, or whose process has given its place away.
@@ -161,58 +207,107 @@
 pub async fn talk(
     peer: Peer,
     stream: UnixStream,
-    mut said: mpsc::Receiver<Message>,
+    mut said: mpsc::Receiver<Out>,
     listener: Option<Rc<TcpListener>>,
     hub: Hub,
 ) {
-    let (read, mut write) = stream.into_split();
-    let mut read = BufReader::new(read);
-    let mut line = Vec::new();
+    let (mut line, mut passed) = (Vec::new(), VecDeque::new());
     loop {
-        // Given up in between, what was read of a line stays in it.
-        let mut bounded = (&mut read).take((LONGEST + 1 - line.len()) as u64);
         tokio::select! {
-            got = bounded.read_until(b'\n', &mut line) => {
-                if !matches!(got, Ok(1..)) || line.last() != Some(&b'\n') {
+            ready = stream.readable() => {
+                let got = ready.and_then(|()| {
+                    stream.try_io(Interest::READABLE, || receive(stream.as_fd(), &mut line, &mut passed))
+                });
+                match got {
+                    Ok(1..) => {}
+                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => continue,
+                    _ => break,
+                }
+                if let Err(why) = heard(peer, &mut line, &mut passed, &hub).await {
+                    slog::warn!(hub.log, "another process is not understood"; "why" => &why);
+                    let no = encode(&Message::No { why }).unwrap_or_default();
+                    say(&stream, &no, &[], &hub).await;
                     break;
                 }
-                match decode(line.trim_ascii_end()) {
-                    Ok(message) => hub.tell(Event::Place(Heard::Said { peer, message })).await,
-                    Err(why) => {
-                        slog::warn!(hub.log, "another process is not understood"; "why" => &why);
-                        let no = encode(&Message::No { why }).unwrap_or_default();
-                        _ = tokio::time::timeout(span(hub.limits().end), write.write_all(&no)).await;
+            }
+            out = said.recv() => match out {
+                None => break,
+                Some(Out::Say(message)) => {
+                    let Ok(bytes) = encode(&message) else { break };
+                    let offered = listener.as_ref().filter(|_| matches!(message, Message::Offer { .. }));
+                    let beside: Vec<BorrowedFd> = offered.iter().map(|listener| listener.as_fd()).collect();
+                    if !say(&stream, &bytes, &beside, &hub).await {
                         break;
                     }
                 }
-                line.clear();
-            }
-            message = said.recv() => {
-                let Some(message) = message else { break };
-                let Ok(bytes) = encode(&message) else { break };
-                let beside = listener.as_ref().filter(|_| matches!(message, Message::Offer { .. }));
-                let sent = match beside {
-                    // A short line on an empty socket: it goes out whole or not at all.
-                    Some(listener) => send(write.as_ref().as_fd(), &bytes, listener.as_fd()).is_ok(),
-                    None => {
-                        let all = write.write_all(&bytes);
-                        matches!(tokio::time::timeout(span(hub.limits().offer), all).await, Ok(Ok(())))
+                Some(Out::Pass(one, told)) => {
+                    let beside = [one.client.as_fd(), one.backend.as_fd()];
+                    let gone = match encode(&Message::Session(one.session.clone())) {
+                        Ok(bytes) => say(&stream, &bytes, &beside, &hub).await,
+                        Err(_) => false,
+                    };
+                    // Who waits for it is a task of this process, and lives.
+                    _ = told.send(if gone { Ok(()) } else { Err(one) });
+                    if !gone {
+                        break;
                     }
-                };
-                if !sent {
-                    break;
                 }
             }
         }
     }
+    hub.peers.borrow_mut().remove(&peer);
+    // Sessions that were still to pass come back to their tasks.
+    said.close();
+    while let Some(out) = said.recv().await {
+        if let Out::Pass(one, told) = out {
+            _ = told.send(Err(one));
+        }
+    }
     hub.tell(Event::Place(Heard::Left { peer })).await;
 }
 
+/// Tells of the whole lines that have come.
+async fn heard(
+    peer: Peer,
+    line: &mut Vec<u8>,
+    passed: &mut VecDeque<OwnedFd>,
+    hub: &Hub,
+) -> Result<(), String> {
+    while let Some(end) = line.iter().position(|b| *b == b'\n') {
+        let message = decode(&line[..end])?;
+        line.drain(..=end);
+        match message {
+            Message::Session(session) if peer == BEFORE => {
+                let mut socket = || -> Result<TcpStream, String> {
+                    let one = passed.pop_front().ok_or("a session came without its sockets")?;
+                    let one = std::net::TcpStream::from(one);
+                    let one = one.set_nonblocking(true).and_then(|()| TcpStream::from_std(one));
+                    one.map_err(|e| format!("a session's socket: {e}"))
+                };
+                let came = Passed { session, client: socket()?, backend: socket()? };
+                let hub = hub.clone();
+                tokio::task::spawn_local(async move {
+                    let (conn, commands) = hub.register();
+                    pass::resume(conn, came, commands, &hub).await;
+                    hub.conns.borrow_mut().remove(&conn);
+                    hub.tell(Event::Gone { sess: conn }).await;
+                });
+            }
+            message => hub.tell(Event::Place(Heard::Said { peer, message })).await,
+        }
+    }
+    if line.len() > LONGEST {
+        return Err(format!("a message is over {LONGEST} bytes"));
+    }
+    Ok(())
+}
+
 /// The process before this one, spoken to from now on like any other.
-pub fn begin(talk_to: Stream, limits: &Limits, hub: &Hub) -> io::Result<Guest> {
+pub fn begin(talk_to: Stream, hub: &Hub) -> io::Result<()> {
     talk_to.set_nonblocking(true)?;
     let stream = UnixStream::from_std(talk_to)?;
-    let (to, said) = mpsc::channel(limits.commands);
+    let (to, said) = mpsc::channel(hub.limits().passing);
+    hub.peers.borrow_mut().insert(BEFORE, to);
     tokio::task::spawn_local(talk(BEFORE, stream, said, None, hub.clone()));
-    Ok(Guest { peer: BEFORE, to })
+    Ok(())
 }
--- a/relay/src/net/mod.rs
+++ b/relay/src/net/mod.rs
@@ -19,6 +19,8 @@
 use hallrelay::types::{Micros, SessId};
 use hallrelay_config::facts::ReportOrder;
 use hallrelay_config::limits::Limits;
+use hallrelay_handover::place::Peer;
+use hallrelay_handover::Session;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -38,6 +40,8 @@
     Pass,
     Answer(Vec<u8>),
     Move,
+    /// Another process goes on with its session.
+    PassOn(Peer, Box<Session>),
     Close,
     /// Whether its backend's silence is to tell sooner.
     Doubt(bool),
@@ -53,6 +57,8 @@
     /// Where bytes go that nobody reads any more.
     waste: Rc<RefCell<Vec<u8>>>,
     last_id: Rc<Cell<SessId>>,
+    /// Ways to other processes of this relay.
+    peers: Rc<RefCell<BTreeMap<Peer, mpsc::Sender<handover::Out>>>>,
     /// As the configuration in force has them.
     tuned: Rc<RefCell<(Rc<Limits>, ReportOrder)>>,
     clock: Clock,
--- a/relay/src/net/pass.rs
+++ b/relay/src/net/pass.rs
@@ -1,10 +1,12 @@
 //! An open session: lines pass both ways unchanged, and what they tell of load and delay goes to the reducer.
 use super::dial::Backend;
-use super::{end, Command, Hub};
+use super::{end, handover, Command, Hub};
 use crate::buffer::Buffer;
 use crate::lines::{self, Said};
 use crate::reducer::Event;
 use hallrelay::types::{DialEnd, Micros, Report, SessId};
+use hallrelay_handover::place::Peer;
+use hallrelay_handover::Session;
 use std::collections::VecDeque;
 use std::io::ErrorKind;
 use tokio::net::TcpStream;
@@ -19,6 +21,8 @@
     Backend(DialEnd, Option<Report>),
     /// The reducer wants it moved.
     Moved,
+    /// Another process is to go on with it.
+    Passed(Peer, Box<Session>),
     Closed,
 }
 
@@ -35,7 +39,12 @@
     last: Option<(DialEnd, Option<Report>)>,
 }
 
-impl Ear<'_> {
+impl<'a> Ear<'a> {
+    fn new(conn: SessId, hub: &'a Hub) -> Ear<'a> {
+        let patience = hub.limits().silence;
+        Ear { conn, hub, unanswered: VecDeque::new(), doubt: None, patience, last: None }
+    }
+
     /// False where a line is longer than lines may be.
     fn client_lines(&mut self, lines: &[u8]) -> bool {
         let now = self.hub.clock.now();
@@ -87,24 +96,68 @@
 pub async fn run(
     conn: SessId,
     client: TcpStream,
-    mut up: Buffer,
+    up: Buffer,
     backend: Backend,
-    mut commands: Receiver<Command>,
+    commands: Receiver<Command>,
     hub: &Hub,
 ) {
-    let Backend { stream: backend, buffer: mut down, up: receipt } = backend;
-    let patience = hub.limits().silence;
-    let mut ear = Ear { conn, hub, unanswered: VecDeque::new(), doubt: None, patience, last: None };
-    let over = if end::write(&client, &receipt, hub.limits().stuck).await {
-        drop(receipt);
-        let fit = ear.client_lines(up.lines()) && ear.backend_lines(down.lines()).await;
-        if fit {
-            both(&client, &mut up, &backend, &mut down, &mut commands, &mut ear).await
-        } else {
-            Over::ClientBroke
+    let Backend { stream: backend, buffer: down, up: receipt } = backend;
+    let mut ear = Ear::new(conn, hub);
+    if !end::write(&client, &receipt, hub.limits().stuck).await {
+        return end::abrupt(backend);
+    }
+    drop(receipt);
+    if !(ear.client_lines(up.lines()) && ear.backend_lines(down.lines()).await) {
+        return end::abrupt(backend);
+    }
+    go_on(client, up, backend, down, commands, ear).await;
+}
+
+/// Goes on with a session that another process had, once the reducer has it.
+pub async fn resume(conn: SessId, came: handover::Passed, mut commands: Receiver<Command>, hub: &Hub) {
+    let handover::Passed { session, client, backend } = came;
+    let (first, most) = (hub.limits().buffer_first, hub.limits().buffer_most);
+    let (up, down) = (Buffer::holding(&session.up, first, most), Buffer::holding(&session.down, first, most));
+    let mut ear = Ear::new(conn, hub);
+    let now = hub.clock.now();
+    ear.unanswered = session.unanswered.iter().map(|ago| now.saturating_sub(*ago)).collect();
+    hub.tell(Event::Inherited { sess: conn, session }).await;
+    if let Some(Command::Pass) = commands.recv().await {
+        go_on(client, up, backend, down, commands, ear).await;
+    }
+}
+
+async fn go_on(
+    mut client: TcpStream,
+    mut up: Buffer,
+    mut backend: TcpStream,
+    mut down: Buffer,
+    mut commands: Receiver<Command>,
+    mut ear: Ear<'_>,
+) {
+    let (conn, hub) = (ear.conn, ear.hub);
+    let over = loop {
+        match both(&client, &mut up, &backend, &mut down, &mut commands, &mut ear).await {
+            // One whose last word was heard ends here, at once.
+            Over::Passed(peer, session) if ear.last.is_none() => {
+                let session = Box::new(Session {
+                    up: up.rest().to_vec(),
+                    down: down.rest().to_vec(),
+                    unanswered: ear.unanswered.iter().map(|then| hub.clock.now() - then).collect(),
+                    ..*session
+                });
+                let passed = handover::Passed { session, client, backend };
+                match handover::pass(peer, conn, passed, hub).await {
+                    Ok(()) => return hub.tell(Event::Passed { sess: conn }).await,
+                    Err(Some(back)) => (client, backend) = (back.client, back.backend),
+                    // Its sockets are of no use to this process any more.
+                    Err(None) => return,
+                }
+                hub.tell(Event::Stays { sess: conn }).await;
+            }
+            Over::Passed(..) => hub.tell(Event::Stays { sess: conn }).await,
+            over => break over,
         }
-    } else {
-        Over::ClientBroke
     };
     match over {
         Over::ClientEnded => {
@@ -114,7 +167,7 @@
             }
         }
         Over::ClientBroke => end::abrupt(backend),
-        Over::Closed => {}
+        Over::Closed | Over::Passed(..) => {}
         Over::Backend(how, report) => {
             hub.tell(Event::Ended { sess: conn, end: how, report }).await;
             // Guards a client that would not know why: whom no last word told, is told to come again.
@@ -158,6 +211,7 @@
         tokio::select! {
             command = commands.recv() => match command {
                 Some(Command::Move) => return Over::Moved,
+                Some(Command::PassOn(peer, session)) => return Over::Passed(peer, session),
                 Some(Command::Doubt(doubted)) => {
                     // Where the backend answers no probes, a message gets no more time than a probe.
                     ear.patience = if doubted { limits.probe } else { limits.silence };
--- a/relay/src/net/serve.rs
+++ b/relay/src/net/serve.rs
@@ -5,8 +5,6 @@
 use crate::reducer::{Alarm, Call, Effect, Event, Reducer, Reply};
 use hallrelay::types::{Micros, ServerId};
 use hallrelay_config::node::Node;
-use hallrelay_handover::place::Peer;
-use hallrelay_handover::Message;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -29,7 +27,6 @@
     calls: BTreeMap<u32, oneshot::Sender<Reply>>,
     /// Whether connections are taken here; other processes, and where they come.
     taking: watch::Sender<bool>,
-    peers: BTreeMap<Peer, mpsc::Sender<Message>>,
     door: Option<Door>,
     exit: Option<std::io::Result<()>>,
 }
@@ -38,7 +35,6 @@
 struct Door {
     path: PathBuf,
     listener: Rc<TcpListener>,
-    guests: mpsc::Sender<handover::Guest>,
     wait: Option<AbortHandle>,
 }
 
@@ -58,6 +54,7 @@
         // Enough for what a peer sends at full speed between two reads.
         waste: Rc::new(RefCell::new(vec![0; 1 << 16])),
         last_id: Rc::new(Cell::new(0)),
+        peers: Rc::new(RefCell::new(BTreeMap::new())),
         tuned: Rc::new(RefCell::new((Rc::new(limits), node.site.report))),
         clock,
         log: log.clone(),
@@ -87,7 +84,6 @@
     slog::info!(log, "serving"; "name" => &node.name, "listen" => %node.listen, "limits" => ?limits);
 
     let (taking, taken) = watch::channel(false);
-    let (to_guests, mut guests) = mpsc::channel(limits.visitors);
     let mut hands = Hands {
         hub: hub.clone(),
         alarms: BTreeMap::new(),
@@ -96,14 +92,12 @@
         watches: BTreeMap::new(),
         calls: BTreeMap::new(),
         taking,
-        peers: BTreeMap::new(),
-        door: door.map(|path| Door { path, listener: listener.clone(), guests: to_guests, wait: None }),
+        door: door.map(|path| Door { path, listener: listener.clone(), wait: None }),
         exit: None,
     };
     tokio::task::spawn_local(accept::run(listener, taken, hub.clone()));
-    let before = before.map(|talk| handover::begin(talk, &limits, &hub)).transpose()?;
-    let place = before.as_ref().map(|guest| guest.peer);
-    hands.peers.extend(before.map(|guest| (guest.peer, guest.to)));
+    let place = before.is_some().then_some(handover::BEFORE);
+    before.map_or(Ok(()), |talk| handover::begin(talk, &hub))?;
     let (mut reducer, mut effects) = (Reducer::new(node, place), Vec::new());
     reducer.start(clock.now(), &mut effects);
     if let Some(before) = place {
@@ -117,11 +111,6 @@
             biased;
             // Before all that waits from sessions: a crowd of these may not delay an operator.
             Some((what, answer)) = calls.recv() => Some(hands.called(what, answer)),
-            // Whom the reducer is to answer is known before it hears what they say.
-            Some(guest) = guests.recv() => {
-                hands.peers.insert(guest.peer, guest.to);
-                None
-            }
             event = arrived.recv() => event,
             () = sleep_until(clock.at(next)) => None,
         };
@@ -186,6 +175,9 @@
                     self.hub.command(sess, Command::Answer(lines::busy(retry_after / 1000)));
                 }
                 Effect::TearDown { sess } => self.hub.command(sess, Command::Answer(lines::FAIL.to_vec())),
+                Effect::PassOn { sess, peer, session } => {
+                    self.hub.command(sess, Command::PassOn(peer, session));
+                }
                 Effect::Move { sess } => self.hub.command(sess, Command::Move),
                 Effect::Spurn { conn } => self.hub.command(conn, Command::Answer(lines::ERROR.to_vec())),
                 Effect::Shed { conn } => self.hub.command(conn, Command::Shed),
@@ -212,20 +204,17 @@
                 }
                 Effect::Accept { on } => _ = self.taking.send(on),
                 Effect::Tell { peer, message } => {
-                    if self.peers.get(&peer).is_none_or(|to| to.try_send(message).is_err()) {
+                    let peers = self.hub.peers.borrow();
+                    let out = handover::Out::Say(message);
+                    if peers.get(&peer).is_none_or(|to| to.try_send(out).is_err()) {
                         slog::warn!(self.hub.log, "another process does not hear"; "peer" => peer);
                     }
                 }
                 // What was said goes out first.
-                Effect::Part { peer } => _ = self.peers.remove(&peer),
+                Effect::Part { peer } => _ = self.hub.peers.borrow_mut().remove(&peer),
                 Effect::Door { open: true } => {
                     let Some(door) = &mut self.door else { continue };
-                    let wait = handover::wait(
-                        door.path.clone(),
-                        door.listener.clone(),
-                        door.guests.clone(),
-                        self.hub.clone(),
-                    );
+                    let wait = handover::wait(door.path.clone(), door.listener.clone(), self.hub.clone());
                     let wait = tokio::task::spawn_local(wait).abort_handle();
                     door.wait.replace(wait).inspect(AbortHandle::abort);
                 }
--- a/relay/src/reducer/mod.rs
+++ b/relay/src/reducer/mod.rs
@@ -20,7 +20,7 @@
 use hallrelay_config::list::{Instance, List};
 use hallrelay_config::node::Node;
 use hallrelay_handover::place::{self as handover, Peer, Place};
-use hallrelay_handover::Message;
+use hallrelay_handover::{Message, Session};
 use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -118,6 +118,18 @@
         call: u32,
         what: Call,
     },
+    /// Another process has this one's session, or could not take it.
+    Passed {
+        sess: SessId,
+    },
+    Stays {
+        sess: SessId,
+    },
+    /// This one has a session of the process before it.
+    Inherited {
+        sess: SessId,
+        session: Box<Session>,
+    },
     /// Something came from the process before or after this one.
     Place(handover::Event),
     Alarm(Alarm),
@@ -173,6 +185,12 @@
     Move {
         sess: SessId,
     },
+    /// Another process goes on with it.
+    PassOn {
+        sess: SessId,
+        peer: Peer,
+        session: Box<Session>,
+    },
     /// An error for what is not of the protocol.
     Spurn {
         conn: SessId,
@@ -252,12 +270,15 @@
     Pass,
     /// Told to move; ends with its backend's connection.
     Moving,
+    /// On its way to another process.
+    Passing,
 }
 
 struct Sess {
     id: u64,
     /// The name of its listener, as it was when it came.
     listener: Rc<str>,
+    asked: Asked,
     stage: Stage,
     server: Option<ServerId>,
     dials: u32,
@@ -320,6 +341,8 @@
     place: Place,
     /// What the process before this one holds still: connections, and sessions among them.
     shared: (usize, u32),
+    /// The process that has this one's place.
+    after: Option<Peer>,
     /// Marks of sessions there.
     their_marks: HashSet<u64>,
     held: (u32, u32),
@@ -332,6 +355,7 @@
         Reducer {
             place: Place::new(&node.name, &node.listen.to_string(), before),
             shared: (0, 0),
+            after: None,
             their_marks: HashSet::new(),
             held: (0, 0),
             module: Relay::new(node.site.facts.clone(), node.seed),
@@ -408,6 +432,9 @@
                 let reply = self.called(what, out);
                 out.push(Effect::Reply { call, reply });
             }
+            Event::Passed { sess } => self.left(sess, out),
+            Event::Stays { sess } => self.stays(sess),
+            Event::Inherited { sess, session } => self.inherited(sess, *session, out),
             Event::Place(event) => self.placed(event, out),
             Event::Alarm(alarm) => self.alarm(alarm, out),
             Event::Stop => _ = self.turn(Sign::Stop, out),
--- a/relay/src/reducer/place.rs
+++ b/relay/src/reducer/place.rs
@@ -1,11 +1,11 @@
 //! The process before this one and the one after it at the same address: what is said to them, what is handed
 //! over, and what is shared till the old one is gone. The states stand in the package `handover`.
 use super::duty::Sign;
-use super::{Alarm, Effect, Reducer};
-use hallrelay::types::{Input, Memory, Micros, Phase, Report};
+use super::{Alarm, Effect, Reducer, Sess, Stage};
+use hallrelay::types::{Asked, Input, Memory, Micros, Phase, Report, SessId};
 use hallrelay_config::list::{self, List};
 use hallrelay_handover::place::{Act, Event as Heard, Peer, PATIENCE};
-use hallrelay_handover::{Message, Open, Server, State};
+use hallrelay_handover::{Message, Open, Server, Session, State};
 
 impl Reducer {
     /// The process has its place from the start, or tells the one before it that it could take over.
@@ -33,6 +33,7 @@
                 }
                 Act::Yield { peer } => self.yield_to(peer, out),
                 Act::Return => {
+                    self.after = None;
                     self.note("the new process died, and this one takes connections again", out);
                     self.turn(Sign::Return, out);
                     out.push(Effect::Door { open: true });
@@ -62,9 +63,69 @@
         out.push(Effect::Door { open: false });
         self.turn(Sign::Yield, out);
         out.push(Effect::Tell { peer, message: Message::Yours(state) });
+        self.after = Some(peer);
+        let open: Vec<SessId> = self.sessions.keys().copied().collect();
+        open.into_iter().for_each(|sess| self.pass_on(sess, out));
         self.holding(out);
     }
 
+    /// A session that is open passes to the process that has the place; a drain moves it from here.
+    pub(super) fn pass_on(&mut self, sess: SessId, out: &mut Vec<Effect>) {
+        let Some(peer) = self.after.filter(|_| self.draining().is_none()) else { return };
+        let Some(s) = self.sessions.get_mut(&sess).filter(|s| s.stage == Stage::Pass) else { return };
+        let Some(told) = s.server.and_then(|id| self.servers.get(&id)).map(|v| &v.told) else { return };
+        let session = Session {
+            mark: s.id,
+            listener: s.listener.to_string(),
+            server: told.id.clone(),
+            key: s.asked.key,
+            group: s.asked.group,
+            returned: s.asked.returned,
+            ..Session::default()
+        };
+        s.stage = Stage::Passing;
+        out.push(Effect::PassOn { sess, peer, session: Box::new(session) });
+    }
+
+    /// The other process could not take it: it is this one's still, and moves where this one leaves.
+    pub(super) fn stays(&mut self, sess: SessId) {
+        if let Some(s) = self.sessions.get_mut(&sess).filter(|s| s.stage == Stage::Passing) {
+            s.stage = Stage::Pass;
+        }
+    }
+
+    /// A session of the process before this one, in the middle of its life: it counts as open there before.
+    pub(super) fn inherited(&mut self, sess: SessId, session: Session, out: &mut Vec<Effect>) {
+        let listeners = &self.node.site.listeners;
+        // Its listener may be dropped here by now: nothing of an open session depends on its place.
+        let listener = listeners.iter().position(|name| *name == session.listener).unwrap_or(0);
+        let (key, group, returned) = (session.key, session.group, session.returned);
+        let asked = Asked { listener, key, group, returned, left: 0 };
+        let server = self.ids.get(&session.server).copied();
+        let s = Sess {
+            id: session.mark,
+            listener: session.listener.as_str().into(),
+            asked,
+            stage: Stage::Pass,
+            server,
+            dials: 1,
+            due: self.now,
+            told: None,
+            standing: None,
+        };
+        self.their_marks.remove(&session.mark);
+        self.marks.insert(session.mark);
+        self.sessions.insert(sess, s);
+        self.shared = (self.shared.0.saturating_sub(1), self.shared.1.saturating_sub(1));
+        out.push(Effect::Pass { sess });
+        // At a server that the list no longer names it lives on, and the module need not know.
+        if let Some(server) = server {
+            self.tell(Input::AlreadyOpen { sess, server, asked }, out);
+        }
+        // Its place may be another's by now.
+        self.pass_on(sess, out);
+    }
+
     fn state(&self) -> State {
         let (step, memory) = self.module.memory(self.now);
         let server = |m: Memory| {
--- a/relay/src/reducer/sessions.rs
+++ b/relay/src/reducer/sessions.rs
@@ -71,6 +71,7 @@
         let s = Sess {
             id: open.id,
             listener: name,
+            asked,
             stage: Stage::Admit,
             server: None,
             dials: 0,
@@ -147,6 +148,7 @@
             }
             _ => self.tell(Input::Stands { sess, dial }, out),
         }
+        self.pass_on(sess, out);
     }
 
     pub(super) fn dial_ended(
--- a/relay/tests/common/mod.rs
+++ b/relay/tests/common/mod.rs
@@ -184,6 +184,10 @@
         Ok(Client(BufReader::new(stream)))
     }
 
+    pub fn say_part(&mut self, text: &str) {
+        _ = self.0.get_mut().write_all(text.as_bytes());
+    }
+
     pub fn say(&mut self, line: &str) {
         _ = self.0.get_mut().write_all(format!("{line}\r\n").as_bytes());
     }
