Lines that come bit by bit have more time and are shed last; buffers come with bytes

Change: a first line that grows has up to 2.7 s (0.7 s at most between its parts), so bad clients still have their end within 3 s; connections that are no session are shed in the order silent, then paused longest (Event::Stirred). A connection's buffer is allocated with its first bytes. What is told to a duty is logged.

Tests: every cut of a text, read by one process or by two; a line of 2.2 s in a crowd.

--- a/config/src/limits.rs
+++ b/config/src/limits.rs
@@ -27,6 +27,9 @@
     pub connect: Micros,
     /// From a connection's start to its session's first line.
     pub first_line: Micros,
+    /// The same for one that grows, and how long it may pause then.
+    pub first_line_most: Micros,
+    pub first_line_pause: Micros,
     /// A client that would wait longer than this speaks another protocol.
     pub wait: Micros,
     /// An answer leaves this long before the client's time is up.
@@ -108,6 +111,9 @@
             connect: site.connect.min(site.drain_grace * 4 / 5),
             // Who says nothing is owed an end within 3 s of connecting; `end` is still to come.
             first_line: 2_000 * MS,
+            // Lines written bit by bit take 2 s; the error is out at once where `end` only waits for the other side.
+            first_line_most: 2_700 * MS,
+            first_line_pause: 700 * MS,
             // Far beyond what any listener gives.
             wait: longest * 10,
             // Clients take answers a little late as well, but the wake-up of a busy core takes some of it.
--- a/relay/src/buffer.rs
+++ b/relay/src/buffer.rs
@@ -1,4 +1,4 @@
-//! One buffer a connection: small at first, grown as lines need it, compacted in place.
+//! One buffer a connection: nothing till bytes come, then small, grown as lines need it, compacted in place.
 use std::io;
 use tokio::net::TcpStream;
 
@@ -11,18 +11,19 @@
     /// End of the last whole line, and where the lines begin that the last read made whole.
     whole: usize,
     fresh: usize,
+    first: usize,
     most: usize,
 }
 
 impl Buffer {
     pub fn new(first: usize, most: usize) -> Buffer {
-        Buffer { bytes: vec![0; first], from: 0, till: 0, seen: 0, whole: 0, fresh: 0, most }
+        Buffer { bytes: Vec::new(), from: 0, till: 0, seen: 0, whole: 0, fresh: 0, first, most }
     }
 
     /// One that goes on with what another process had read and not yet written.
     pub fn holding(bytes: &[u8], first: usize, most: usize) -> Buffer {
-        let mut buffer = Buffer::new(first.max(bytes.len()), most.max(bytes.len()));
-        buffer.bytes[..bytes.len()].copy_from_slice(bytes);
+        let mut buffer = Buffer::new(first, most.max(bytes.len()));
+        buffer.bytes = bytes.to_vec();
         buffer.till = bytes.len();
         buffer.whole = bytes.windows(2).rposition(|w| w == b"\r\n").map_or(0, |at| at + 2);
         (buffer.fresh, buffer.seen) = (buffer.whole, buffer.whole.max(buffer.till.saturating_sub(1)));
@@ -74,7 +75,7 @@
             }
             self.from = 0;
         } else {
-            self.bytes.resize((self.bytes.len() * 2).min(self.most), 0);
+            self.bytes.resize((self.bytes.len() * 2).max(self.first).min(self.most), 0);
         }
     }
 
@@ -128,9 +129,9 @@
     }
 
     /// Gives back what a burst took.
-    pub fn shrink(&mut self, first: usize) {
-        if self.from == self.till && self.bytes.len() > first {
-            self.bytes = vec![0; first];
+    pub fn shrink(&mut self) {
+        if self.from == self.till && self.bytes.len() > self.first {
+            self.bytes = Vec::new();
         }
     }
 }
--- a/relay/src/net/first_line.rs
+++ b/relay/src/net/first_line.rs
@@ -1,6 +1,6 @@
 //! Reads a connection's first line, for a bounded time from its start. What is not of the protocol's form
 //! gets an error, and ends that connection alone.
-use super::read::{self, line, Unfit};
+use super::read::{self, more, Unfit};
 use super::{admit, end, Command, Hub};
 use crate::buffer::Buffer;
 use crate::clock::span;
@@ -14,6 +14,8 @@
 /// What the connection brought next.
 enum Next {
     Line(Vec<u8>),
+    /// Some bytes of one.
+    Part,
     /// The end, before a line was whole.
     Ended,
     /// Too long a line, or none in time.
@@ -24,13 +26,15 @@
 pub async fn run(conn: SessId, client: TcpStream, mut commands: Receiver<Command>, hub: &Hub) {
     let limits = hub.limits();
     // One time for all that comes before the session: what says something now and then would stay for ever.
-    let over = Instant::now() + span(limits.first_line);
+    let came = Instant::now();
+    let mut over = came + span(limits.first_line);
     let mut buffer = Buffer::new(limits.buffer_first, limits.buffer_most);
     hub.tell(Event::Came { conn }).await;
     loop {
         let next = tokio::select! {
-            line = line(&client, &mut buffer, limits.line) => match line {
-                Ok(line) => Next::Line(line),
+            line = more(&client, &mut buffer, limits.line) => match line {
+                Ok(Some(line)) => Next::Line(line),
+                Ok(None) => Next::Part,
                 Err(Unfit::Ended) => Next::Ended,
                 Err(Unfit::Long) => Next::Odd,
             },
@@ -39,6 +43,13 @@
         };
         let line = match next {
             Next::Line(line) => line,
+            Next::Part => {
+                // Guards a client that is slow: as long as its line grows it has a little more time.
+                let more = Instant::now() + span(limits.first_line_pause);
+                over = over.max(more.min(came + span(limits.first_line_most)));
+                hub.tell(Event::Stirred { conn }).await;
+                continue;
+            }
             Next::Ended => return,
             Next::Odd => return admit::spurned(conn, client, commands, hub).await,
             Next::Told(Some(Command::Shed)) => {
--- a/relay/src/net/pass.rs
+++ b/relay/src/net/pass.rs
@@ -198,7 +198,7 @@
     ear: &mut Ear<'_>,
 ) -> Over {
     let (limits, clock) = (ear.hub.limits(), ear.hub.clock);
-    let (first, most) = (limits.buffer_first, limits.line + lines::END.len());
+    let most = limits.line + lines::END.len();
     // Since when the client has taken nothing of what waits for it.
     let mut held: Option<Micros> = None;
     loop {
@@ -233,12 +233,12 @@
                 }
             },
             ready = backend.writable(), if to_backend => {
-                if ready.is_err() || goes(up, backend, first).is_err() {
+                if ready.is_err() || goes(up, backend).is_err() {
                     return gone(ear);
                 }
             }
             ready = client.writable(), if to_client => {
-                match ready.and_then(|()| goes(down, client, first)) {
+                match ready.and_then(|()| goes(down, client)) {
                     Ok(0) => {}
                     Ok(_) => held = None,
                     Err(_) => return Over::ClientBroke,
@@ -263,11 +263,11 @@
 }
 
 /// Writes on what it can of the whole lines.
-fn goes(buffer: &mut Buffer, stream: &TcpStream, first: usize) -> std::io::Result<usize> {
+fn goes(buffer: &mut Buffer, stream: &TcpStream) -> std::io::Result<usize> {
     match buffer.write(stream) {
         Err(e) if e.kind() == ErrorKind::WouldBlock => Ok(0),
         wrote => {
-            buffer.shrink(first);
+            buffer.shrink();
             wrote
         }
     }
--- a/relay/src/net/read.rs
+++ b/relay/src/net/read.rs
@@ -13,18 +13,25 @@
 /// The next whole line, without its end.
 pub async fn line(stream: &TcpStream, buffer: &mut Buffer, most: usize) -> Result<Vec<u8>, Unfit> {
     loop {
-        if let Some(line) = buffer.take_line() {
-            return if line.len() <= most { Ok(line) } else { Err(Unfit::Long) };
-        }
-        if buffer.partial() > most + lines::END.len() {
-            return Err(Unfit::Long);
-        }
-        if !matches!(buffer.fill(stream).await, Ok(1..)) {
-            return Err(Unfit::Ended);
+        if let Some(line) = more(stream, buffer, most).await? {
+            return Ok(line);
         }
     }
 }
 
+/// The next whole line, or none where only a part of it has come by now.
+pub async fn more(stream: &TcpStream, buffer: &mut Buffer, most: usize) -> Result<Option<Vec<u8>>, Unfit> {
+    let ready = buffer.take_line();
+    if ready.is_none() && !matches!(buffer.fill(stream).await, Ok(1..)) {
+        return Err(Unfit::Ended);
+    }
+    match ready.or_else(|| buffer.take_line()) {
+        Some(line) if line.len() > most => Err(Unfit::Long),
+        None if buffer.partial() > most + lines::END.len() => Err(Unfit::Long),
+        line => Ok(line),
+    }
+}
+
 /// How long ago the last bytes came, as the system saw it: a busy relay reads late.
 pub fn age_of_last(stream: &tokio::net::TcpStream) -> hallrelay::types::Micros {
     end::tcp_info(stream).map_or(0, |info| u64::from(info.tcpi_last_data_recv) * 1000)
--- a/relay/src/reducer/duty.rs
+++ b/relay/src/reducer/duty.rs
@@ -107,6 +107,9 @@
         // A drain or a stop that goes on as another process takes over goes by its first moment.
         let same = matches!((from, next), (Draining, Away) | (Away, Draining) | (Stopping, Leaving));
         self.duty = next;
+        if from != next {
+            self.note(&format!("from {} to {}", from.word(), next.word()), out);
+        }
         if from != next && !same {
             (self.since, self.round, self.owed) = (self.now, self.round + 1, 999);
         }
--- a/relay/src/reducer/mod.rs
+++ b/relay/src/reducer/mod.rs
@@ -50,6 +50,10 @@
     Came {
         conn: SessId,
     },
+    /// A part of a first line has come.
+    Stirred {
+        conn: SessId,
+    },
     /// A connection asks whether this relay is able to serve.
     Ping {
         conn: SessId,
@@ -327,8 +331,9 @@
     generation: Option<u64>,
     watch: Watch,
     /// Clients' connections that are no session: their first line is awaited, or their last one is out. The
-    /// oldest first. Sessions and these are all connections that have a place.
-    aside: VecDeque<SessId>,
+    /// one that did something last first, and whether a part of a line is there. Sessions and these are all
+    /// connections that have a place.
+    aside: VecDeque<(SessId, bool)>,
     /// Connections that wait for a `PONG`.
     pings: Vec<SessId>,
     duty: Duty,
@@ -394,6 +399,7 @@
         self.now = now;
         match event {
             Event::Came { conn } => self.came(conn, out),
+            Event::Stirred { conn } => self.stirred(conn),
             Event::Odd { conn } => self.odd(conn, out),
             Event::Ping { conn } => {
                 self.pings.push(conn);
@@ -402,7 +408,7 @@
             Event::Opened { sess, open, left } => self.opened(sess, open, left, out),
             Event::Gone { sess } => {
                 self.left(sess, out);
-                self.aside.retain(|conn| *conn != sess);
+                self.aside.retain(|one| one.0 != sess);
                 self.pings.retain(|conn| *conn != sess);
             }
             Event::Written { sess: _ } => self.figures.tries += 1,
--- a/relay/src/reducer/place.rs
+++ b/relay/src/reducer/place.rs
@@ -51,7 +51,7 @@
         }
     }
 
-    fn note(&self, what: &str, out: &mut Vec<Effect>) {
+    pub(super) fn note(&self, what: &str, out: &mut Vec<Effect>) {
         out.push(Effect::Note { what: what.to_string() });
     }
 
--- a/relay/src/reducer/sessions.rs
+++ b/relay/src/reducer/sessions.rs
@@ -13,12 +13,21 @@
         self.sessions.get(&sess).is_some_and(|s| s.stage == Stage::Pass)
     }
 
-    /// Guards clients against crowds that connect and say nothing: where there is no place left, the oldest
-    /// connection that is no session gives up its own.
+    /// Guards clients against crowds that connect and say nothing, or stop half way: where there is no place
+    /// left, the oldest connection that has said nothing gives up its own; then who has paused longest.
     pub(super) fn came(&mut self, conn: SessId, out: &mut Vec<Effect>) {
-        self.aside.push_back(conn);
+        self.aside.push_back((conn, false));
         if self.shared.0 + self.sessions.len() + self.aside.len() > self.node.limits.clients {
-            out.extend(self.aside.pop_front().map(|conn| Effect::Shed { conn }));
+            let at = self.aside.iter().position(|one| !one.1 && one.0 != conn).unwrap_or(0);
+            out.extend(self.aside.remove(at).map(|(conn, _)| Effect::Shed { conn }));
+        }
+    }
+
+    /// Who makes progress is kept before who does not.
+    pub(super) fn stirred(&mut self, conn: SessId) {
+        if let Some(at) = self.aside.iter().position(|one| one.0 == conn) {
+            self.aside.remove(at);
+            self.aside.push_back((conn, true));
         }
     }
 
@@ -43,7 +52,7 @@
     pub(super) fn over(&mut self, sess: SessId) -> Option<Sess> {
         let s = self.sessions.remove(&sess)?;
         self.marks.remove(&s.id);
-        self.aside.push_back(sess);
+        self.aside.push_back((sess, false));
         Some(s)
     }
 
@@ -55,7 +64,7 @@
         let marked = self.marks.contains(&open.id) || self.their_marks.contains(&open.id);
         let fit = timely && !marked;
         let Some(listener) = listener.filter(|_| fit) else { return self.odd(sess, out) };
-        self.aside.retain(|conn| *conn != sess);
+        self.aside.retain(|one| one.0 != sess);
         let most = self.node.site.dial_timeouts[listener];
         let asked = Asked {
             listener,
--- /dev/null
+++ b/relay/tests/cuts.rs
@@ -0,0 +1,97 @@
+//! Messages cut at any byte: whatever the cuts, what is read is what was sent, also by a process that goes on
+//! with what another one had read.
+use hallrelay_config::facts::ReportOrder;
+use hallrelay_relay::buffer::Buffer;
+use hallrelay_relay::lines::{self, First};
+use std::io::Write;
+use tokio::net::{TcpListener, TcpStream};
+
+const TEXT: &[u8] = b"OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=low,d=2000,g=5c0f6e1a2b3d4c59\r\n\
+    M 1\rnot an end\nneither\r\n\r\nBYE busy_reqs=7,x0=0.61\r\nhalf";
+
+async fn pair() -> (std::net::TcpStream, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let writer =
+        std::net::TcpStream::connect(listener.local_addr().expect("its address")).expect("it listens");
+    writer.set_nodelay(true).expect("an option");
+    (writer, listener.accept().await.expect("it came").0)
+}
+
+fn wanted() -> Vec<Vec<u8>> {
+    lines::whole(TEXT).map(<[u8]>::to_vec).collect()
+}
+
+fn take_all(buffer: &mut Buffer, into: &mut Vec<Vec<u8>>) {
+    while let Some(line) = buffer.take_line() {
+        into.push(line);
+    }
+}
+
+async fn fill(buffer: &mut Buffer, stream: &TcpStream, count: usize) {
+    let mut got = 0;
+    while got < count {
+        got += buffer.fill(stream).await.expect("bytes");
+    }
+}
+
+#[test]
+fn every_cut_gives_what_the_whole_gives() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    runtime.block_on(async {
+        for cut in 1..TEXT.len() {
+            let (mut writer, stream) = pair().await;
+            let (mut buffer, mut got, mut fresh) = (Buffer::new(8, 8192), Vec::new(), Vec::new());
+            for part in [&TEXT[..cut], &TEXT[cut..]] {
+                writer.write_all(part).expect("it goes");
+                let mut left = part.len();
+                while left > 0 {
+                    left -= buffer.fill(&stream).await.expect("bytes");
+                    fresh.extend_from_slice(buffer.fresh());
+                }
+                take_all(&mut buffer, &mut got);
+            }
+            assert_eq!(got, wanted(), "cut at {cut}");
+            // What was told to be new is every whole line once.
+            assert_eq!(
+                lines::whole(&fresh).map(<[u8]>::to_vec).collect::<Vec<_>>(),
+                wanted(),
+                "cut at {cut}"
+            );
+            assert_eq!(buffer.rest(), b"half");
+        }
+    });
+}
+
+#[test]
+fn another_process_goes_on_at_any_byte() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    runtime.block_on(async {
+        for cut in 0..TEXT.len() {
+            let (mut writer, stream) = pair().await;
+            let (mut first, mut got) = (Buffer::new(8, 8192), Vec::new());
+            writer.write_all(&TEXT[..cut]).expect("it goes");
+            fill(&mut first, &stream, cut).await;
+            let mut second = Buffer::holding(first.rest(), 8, 8192);
+            writer.write_all(&TEXT[cut..]).expect("it goes");
+            fill(&mut second, &stream, TEXT.len() - cut).await;
+            take_all(&mut second, &mut got);
+            assert_eq!(got, wanted(), "cut at {cut}");
+            assert_eq!(second.rest(), b"half");
+        }
+    });
+}
+
+/// A part of a line is no line of its own: it is never taken for a session, an end or a figure.
+#[test]
+fn a_part_of_a_line_is_never_read_as_another_one() {
+    let line = b"OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=low,d=2000";
+    assert!(matches!(lines::first(line), Some(First::Open(_))));
+    let order = ReportOrder { load: Some(1), piled: None, held: Some(0), by_cores: false };
+    for cut in 0..line.len() {
+        let whole: Vec<_> = lines::whole(&line[..cut]).collect();
+        assert!(whole.is_empty(), "cut at {cut}: {whole:?}");
+        // What follows the cut is not of the form of a first line.
+        assert!(cut == 0 || lines::first(&line[cut..]).is_none(), "cut at {cut}");
+        _ = lines::said(&line[..cut], order);
+    }
+}
--- a/relay/tests/operations.rs
+++ b/relay/tests/operations.rs
@@ -245,3 +245,31 @@
     assert_eq!(relay.figure("passed.new"), Some(1));
     assert_eq!(relay.figure("passed.low"), Some(6));
 }
+
+/// Guards clients that are slow among crowds that say nothing or stop half way, and the end that those are owed.
+#[test]
+fn a_line_that_comes_bit_by_bit_is_served_and_silence_is_not() {
+    let site = Site::new("slow-lines");
+    let relay = site.start();
+    relay.until_ready();
+    let begun = Instant::now();
+    let mut silent = Client::connect(site.listen).expect("it listens");
+    let mut half = Client::connect(site.listen).expect("it listens");
+    half.say_part("OPEN 00");
+    let line = "OPEN 00000000000000aa 00000000000000ab c=low,d=1900\r\n";
+    let mut slow = Client::connect(site.listen).expect("it listens");
+    let mut crowd = Vec::new();
+    for part in line.as_bytes().chunks(line.len().div_ceil(11)) {
+        slow.say_part(std::str::from_utf8(part).expect("ascii"));
+        // More than there are places.
+        crowd.extend((0..20).filter_map(|_| Client::connect(site.listen).ok()));
+        std::thread::sleep(Duration::from_millis(200));
+    }
+    assert!(begun.elapsed() > Duration::from_millis(2_000));
+    assert_eq!(slow.hear(), Ok("UP r1".to_string()));
+    assert!(slow.echoes());
+    for other in [&mut silent, &mut half] {
+        assert!(matches!(other.hear().as_deref(), Ok("ERR" | "BUSY") | Err(Miss::Ended | Miss::Reset)));
+    }
+    assert!(begun.elapsed() < Duration::from_secs(3), "{:?}", begun.elapsed());
+}
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -2,7 +2,7 @@
 //! `Program` is the reducer without sockets. Backends are named as in the list; a site line may say
 //! `known=NAME,NAME` for the list that the relay starts with, `after` that another process has its place, `told` where the list comes unasked, `probes`.
 //! Inputs, each with `stalled` behind it where no alarm could go off before it:
-//!   `came FIRST..LAST`, `ping CONN`, `odd CONN`, `ask SESS LISTENER [wait=MS] [at=NAME] [mark=ID]`,
+//!   `came FIRST..LAST`, `part FIRST..LAST`, `ping CONN`, `odd CONN`, `ask SESS LISTENER [wait=MS] [at=NAME] [mark=ID]`,
 //!   `gone SESS`, `up SESS DIAL`, `fell SESS DIAL HOW`, `ended SESS HOW`, `took SESS MS`, `load SESS X`,
 //!   `written SESS`, `unfit`, `peer NUMBER hello|ready|yours|left`, `passed SESS`,
 //!   `stays SESS`, `inherits SESS LISTENER SERVER`, `call NUMBER ready|figures|drain|activate`,
@@ -188,6 +188,7 @@
             "call" => Event::Called { call: num(at(1)?)?, what: call(at(2)?)? },
             "came" => return Ok(range(at(1)?)?.map(|conn| Event::Came { conn }).collect()),
             "odd" => Event::Odd { conn: sess()? },
+            "part" => return Ok(range(at(1)?)?.map(|conn| Event::Stirred { conn }).collect()),
             "ping" => Event::Ping { conn: sess()? },
             "gone" => Event::Gone { sess: sess()? },
             "ask" => {
