--- a/config/src/limits.rs
+++ b/config/src/limits.rs
@@ -51,7 +51,7 @@
     pub stop_end: Micros,
     pub stop_least: Micros,
     pub standing: Micros,
-    /// Operators' connections at once, the time in which a call must be whole, and bytes of its head and body.
+    /// Operators' connections at once, the time in which a call must be whole, bytes of its head and body.
     pub callers: usize,
     pub call: Micros,
     pub call_head: usize,
@@ -60,14 +60,14 @@
     pub drain_from: Micros,
     pub drain_by: Micros,
     pub drain_takes: Micros,
+    /// The same of a process that another has replaced, from SIGTERM on.
+    pub leave_from: Micros,
+    pub leave_by: Micros,
     /// Other processes at the door at once, and how long a running one may take to offer its place.
     pub visitors: usize,
+    pub offer: Micros,
     /// Messages and sessions on their way to another process.
     pub passing: usize,
-    pub offer: Micros,
-    /// The same of a process that another has replaced, from SIGTERM on.
-    pub leave_from: Micros,
-    pub leave_by: Micros,
 }
 
 const MS: Micros = 1000;
@@ -111,7 +111,7 @@
             connect: site.connect.min(site.drain_grace * 4 / 5),
             // Who says nothing is owed an end within 3 s of connecting; `end` is still to come.
             first_line: 2_000 * MS,
-            // Lines written bit by bit take 2 s; the error is out at once where `end` only waits for the other side.
+            // Lines written bit by bit take 2 s; the error is out at once, `end` waits for the other side.
             first_line_most: 2_700 * MS,
             first_line_pause: 700 * MS,
             // Far beyond what any listener gives.
@@ -143,7 +143,7 @@
             // The least that hyper allows.
             call_head: 8192,
             call_body: 4096,
-            // The front sends for 0.3 s more, and at 4 s nobody may be left; the last moved need time to leave.
+            // The front sends for 0.3 s more, and at 4 s nobody may be left; the last moved need time to go.
             drain_from: 500 * MS,
             drain_by: 3_300 * MS,
             drain_takes: 1_000 * MS,
--- a/config/src/list.rs
+++ b/config/src/list.rs
@@ -22,6 +22,14 @@
     pub instances: Vec<Instance>,
 }
 
+const PHASES: [(&str, Phase); 3] =
+    [("up", Phase::Ready), ("draining", Phase::Draining), ("removed", Phase::Gone)];
+
+/// How the list calls a phase.
+pub fn word(phase: Phase) -> &'static str {
+    PHASES.iter().find(|one| one.1 == phase).map_or("removed", |one| one.0)
+}
+
 /// One line of a watch, or the answer of a call.
 pub fn parse(text: &[u8]) -> Result<List, String> {
     let value: Value = serde_json::from_slice(text).map_err(|e| format!("the list is not JSON: {e}"))?;
@@ -30,14 +38,13 @@
 
 pub fn decode(at: &At) -> Result<List, String> {
     let instance = |at: &At| -> Result<Instance, String> {
-        let phases = [("up", Phase::Ready), ("draining", Phase::Draining), ("removed", Phase::Gone)];
         let (host_port, started) = (at.key("hostPort")?, at.option("startedAtMs"));
         Ok(Instance {
             id: at.key("instanceId")?.text()?.to_string(),
             addr: host_port.text()?.parse().or_else(|_| host_port.wrong("an address with a port"))?,
             zone: at.option("zone").map_or(Ok(""), |at| at.text())?.to_string(),
             cell: at.option("cell").map_or(Ok(0), |at| at.small())?,
-            phase: at.key("lifecycle")?.word(&phases)?,
+            phase: at.key("lifecycle")?.word(&PHASES)?,
             came_up: started.map_or(Ok(0), |at| at.micros())?,
         })
     };
@@ -51,13 +58,9 @@
 /// The list in the form in which it is read.
 pub fn encode<'a>(generation: u64, whole: bool, instances: impl Iterator<Item = &'a Instance>) -> Value {
     let instance = |one: &Instance| {
-        let phase = match one.phase {
-            Phase::Ready => "up",
-            Phase::Draining => "draining",
-            Phase::Gone => "removed",
-        };
         json!({"instanceId": one.id, "hostPort": one.addr.to_string(), "zone": one.zone, "cell": one.cell,
-            "lifecycle": phase, "startedAtMs": one.came_up as f64 / 1e3})
+            "lifecycle": word(one.phase), "startedAtMs": one.came_up as f64 / 1e3})
     };
-    json!({"generation": generation, "reset": whole, "instances": instances.map(instance).collect::<Vec<_>>()})
+    let instances: Vec<Value> = instances.map(instance).collect();
+    json!({"generation": generation, "reset": whole, "instances": instances})
 }
--- a/config/src/node.rs
+++ b/config/src/node.rs
@@ -53,21 +53,23 @@
         keys.into_iter().filter(|key| key.1).map(|key| key.0).collect()
     }
 
-    /// The limits under other settings, on the same machine.
-    pub fn limits_for(&self, site: &Site) -> Result<Limits, String> {
-        Limits::new(site, self.sockets, self.operator.is_some())
-    }
-
     /// Takes over other settings, but for what can't change while the program runs.
-    pub fn tune(&mut self, site: Site, limits: Limits) {
-        let own = self.site.facts.clone();
-        (self.site, self.limits) = (site, limits);
-        let facts = &mut self.site.facts;
-        (facts.must_watch, facts.slot, facts.zone) = (own.must_watch, own.slot, own.zone);
-        facts.max_open = facts.max_open.min(limits.sessions);
+    pub fn tune(&mut self, mut site: Site) -> Result<(), String> {
+        let (own, new) = (&self.site.facts, &mut site.facts);
+        (new.must_watch, new.slot, new.zone) = (own.must_watch, own.slot, own.zone);
+        (self.site, self.limits) = fitting(site, self.sockets, self.operator.is_some())?;
+        Ok(())
     }
 }
 
+/// The limits under some settings, and these within them.
+fn fitting(mut site: Site, sockets: usize, operator: bool) -> Result<(Site, Limits), String> {
+    let limits = Limits::new(&site, sockets, operator)?;
+    // C_ID of the design: no more sessions than this machine has descriptors for.
+    site.facts.max_open = site.facts.max_open.min(limits.sessions);
+    Ok((site, limits))
+}
+
 /// Times and counts of the settings that a relay can do nothing with at 0.
 fn over_0(settings: &At) -> Result<(), String> {
     let over = |at: At| if at.num()? > 0.0 { Ok(()) } else { at.wrong("more than 0") };
@@ -109,11 +111,9 @@
     let sockets = top.option("limits").and_then(|at| at.option("sockets"));
     let sockets = sockets.map_or(Ok(SOCKETS), |at| at.small())?;
     let settings = top.key("settings")?;
-    let mut site = facts::decode(&settings)?;
+    let site = facts::decode(&settings)?;
     over_0(&settings)?;
-    let limits = Limits::new(&site, sockets, operator.is_some())?;
-    // C_ID of the design: no more sessions than this machine has descriptors for.
-    site.facts.max_open = site.facts.max_open.min(limits.sessions);
+    let (site, limits) = fitting(site, sockets, operator.is_some())?;
     Ok(Node {
         name: said("name", &told.name)?,
         listen: addr("listen", &told.listen)?,
--- a/emulator/src/list.rs
+++ b/emulator/src/list.rs
@@ -1,5 +1,6 @@
 //! The list of servers as the list service knows it: late, by versions, whole or what has changed.
 use hallrelay::types::{Micros, Phase};
+use hallrelay_config::list::word;
 use serde_json::{json, Value};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -60,13 +61,8 @@
     pub fn json(&self, reset: bool, servers: &[usize], addr: impl Fn(usize) -> String) -> Value {
         let instance = |&i: &usize| {
             let (entry, plate) = (self.entries[i], &self.plates[i]);
-            let state = match entry.phase {
-                Phase::Ready => "up",
-                Phase::Draining => "draining",
-                Phase::Gone => "removed",
-            };
             json!({"instanceId": plate.id, "hostPort": addr(i), "zone": plate.zone,
-                "machineType": plate.kind, "cell": plate.cell, "lifecycle": state, "weight": 1.0,
+                "machineType": plate.kind, "cell": plate.cell, "lifecycle": word(entry.phase), "weight": 1.0,
                 "startedAtMs": entry.came_up / 1000})
         };
         let instances: Vec<Value> = servers.iter().map(instance).collect();
--- a/handover/src/message.rs
+++ b/handover/src/message.rs
@@ -41,7 +41,8 @@
     pub step: f64,
     /// Since when a drain is in force.
     pub draining: Option<u64>,
-    pub open: Vec<Open>,
+    /// The marks of the sessions that it keeps.
+    pub open: Vec<u64>,
     pub connections: u32,
 }
 
@@ -62,13 +63,6 @@
     pub unanswered: Vec<u64>,
 }
 
-/// A session that the old process keeps.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Open {
-    pub mark: u64,
-}
-
 /// What is known of one server, by its name in the list.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/handover/src/place.rs
+++ b/handover/src/place.rs
@@ -1,4 +1,4 @@
-//! The states of a process towards the one before it and the one after it, as tables.
+//! The states of a process towards the one before it and the one after it.
 use crate::message::{Message, State, VERSION};
 
 pub type Peer = u32;
@@ -95,7 +95,23 @@
 
     /// Whether this process takes connections and may be asked for its place.
     pub fn has(&self) -> bool {
-        !matches!(self.before, Before::Offered(_)) && !matches!(self.after, After::Given(_))
+        self.before().is_none() && self.after().is_none()
+    }
+
+    /// The process whose place this one is to take.
+    pub fn before(&self) -> Option<Peer> {
+        match self.before {
+            Before::Offered(peer) => Some(peer),
+            Before::None | Before::Lives(_) => None,
+        }
+    }
+
+    /// The process that has this one's place.
+    pub fn after(&self) -> Option<Peer> {
+        match self.after {
+            After::Given(peer) => Some(peer),
+            After::None | After::Offered(_) => None,
+        }
     }
 
     pub fn step(&mut self, event: Event, out: &mut Vec<Act>) {
@@ -140,7 +156,7 @@
                 self.refuse(peer, "not ready in time", out);
             }
             Event::Holds { connections, sessions } => {
-                if let After::Given(peer) = self.after {
+                if let Some(peer) = self.after() {
                     out.push(Act::Tell { peer, message: Message::Holds { connections, sessions } });
                 }
             }
--- a/handover/tests/place.rs
+++ b/handover/tests/place.rs
@@ -2,7 +2,7 @@
 //! the messages: what is read back, and what is refused.
 use hallrelay_handover::message::{decode, encode, LONGEST, VERSION};
 use hallrelay_handover::place::{Act, Event, Place};
-use hallrelay_handover::{Message, Open, Server, State};
+use hallrelay_handover::{Message, Server, State};
 
 fn message(word: &str) -> Message {
     match word {
@@ -155,7 +155,7 @@
         servers: vec![server],
         step: 0.02,
         draining: Some(9),
-        open: vec![Open { mark: u64::MAX }],
+        open: vec![u64::MAX],
         connections: 4,
         ..State::default()
     }
--- a/lab/src/relays.rs
+++ b/lab/src/relays.rs
@@ -41,7 +41,7 @@
         let log = std::fs::OpenOptions::new().create(true).append(true).open(log).map_err(told)?;
         let mut command = program.command()?;
         command.arg("serve").arg("--config").arg(config);
-        for name in ["NODE_CONFIG", "NODE_NAME", "NODE_LISTEN", "NODE_DISCOVERY"] {
+        for name in ["NODE_CONFIG", "NODE_NAME", "NODE_LISTEN", "NODE_DISCOVERY", "NODE_OPERATOR"] {
             command.env_remove(name);
         }
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).kill_on_drop(true);
--- a/relay/src/buffer.rs
+++ b/relay/src/buffer.rs
@@ -23,10 +23,9 @@
     /// One that goes on with what another process had read and not yet written.
     pub fn holding(bytes: &[u8], first: usize, most: usize) -> Buffer {
         let mut buffer = Buffer::new(first, most.max(bytes.len()));
-        buffer.bytes = bytes.to_vec();
-        buffer.till = bytes.len();
-        buffer.whole = bytes.windows(2).rposition(|w| w == b"\r\n").map_or(0, |at| at + 2);
-        (buffer.fresh, buffer.seen) = (buffer.whole, buffer.whole.max(buffer.till.saturating_sub(1)));
+        (buffer.bytes, buffer.till) = (bytes.to_vec(), bytes.len());
+        buffer.look();
+        buffer.fresh = buffer.whole;
         buffer
     }
 
@@ -85,6 +84,12 @@
         let count = stream.try_read(&mut self.bytes[self.till..])?;
         self.till += count;
         self.fresh = self.whole.max(self.from);
+        self.look();
+        Ok(count)
+    }
+
+    /// Finds the end of the last whole line.
+    fn look(&mut self) {
         let look = &self.bytes[self.seen..self.till];
         if let Some(at) = look.windows(2).rposition(|w| w == b"\r\n") {
             self.whole = self.seen + at + 2;
@@ -92,7 +97,6 @@
         self.whole = self.whole.max(self.from);
         // A line's end may come in two parts.
         self.seen = self.whole.max(self.till.saturating_sub(1));
-        Ok(count)
     }
 
     /// Whether bytes stand behind what was taken, or lie on the stream.
--- a/relay/src/figures.rs
+++ b/relay/src/figures.rs
@@ -1,4 +1,5 @@
 //! Figures in the words and the form that operators read: a line each, `NAME:VALUE|KIND`.
+use crate::lines::plain;
 use crate::reducer::Figures;
 use std::fmt::Write;
 
@@ -18,9 +19,3 @@
     line("skipped_backends", figures.avoided as u64, 'g');
     text
 }
-
-/// A name in which nothing can be taken for the form's own marks.
-fn plain(name: &str) -> String {
-    let fit = |c: char| if c.is_ascii_alphanumeric() || "-_".contains(c) { c } else { '_' };
-    name.chars().map(fit).collect()
-}
--- a/relay/src/lines.rs
+++ b/relay/src/lines.rs
@@ -10,7 +10,7 @@
 pub const END: &[u8] = b"\r\n";
 pub const MOVE: &[u8] = b"MOVE\r\n";
 pub const PONG: &[u8] = b"PONG\r\n";
-pub const DENIED: &[u8] = b"BUSY\r\n";
+pub const BUSY: &[u8] = b"BUSY\r\n";
 pub const FAIL: &[u8] = b"FAIL\r\n";
 pub const ERROR: &[u8] = b"ERR\r\n";
 pub const STATS: &[u8] = b"STATS\r\n";
@@ -147,11 +147,17 @@
 /// The refusal, with the time to come back after where the client is to be told one.
 pub fn busy(after_ms: u64) -> Vec<u8> {
     match after_ms {
-        0 => b"BUSY\r\n".to_vec(),
+        0 => BUSY.to_vec(),
         ms => format!("BUSY {ms}\r\n").into_bytes(),
     }
 }
 
+/// A name in which nothing can be taken for the marks of a form or of a path.
+pub fn plain(name: &str) -> String {
+    let fit = |c: char| if c.is_ascii_alphanumeric() || "-_".contains(c) { c } else { '_' };
+    name.chars().map(fit).collect()
+}
+
 /// The client's first line as it goes on: unchanged but for how long the relay will wait.
 pub fn onward(line: &[u8], wait_at: &Range<usize>, wait_ms: u64) -> Vec<u8> {
     [&line[..wait_at.start], wait_ms.to_string().as_bytes(), &line[wait_at.end..], END].concat()
--- a/relay/src/net/accept.rs
+++ b/relay/src/net/accept.rs
@@ -4,13 +4,11 @@
 use crate::reducer::Event;
 use std::rc::Rc;
 use std::sync::Arc;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Semaphore};
 
 /// `on` tells whether connections are this process's to take, or wait for another one at the same socket.
 pub async fn run(listener: Rc<TcpListener>, mut on: watch::Receiver<bool>, hub: Hub) {
-    // Long enough not to spin while descriptors are short, short against every dial timeout.
-    const REST: u64 = 20_000;
     // Those over the limit wait no longer than it takes to shed the ones before them.
     let room = Arc::new(Semaphore::new(hub.limits().clients + hub.limits().shedding));
     loop {
@@ -18,21 +16,11 @@
             return;
         }
         let Ok(permit) = room.clone().acquire_owned().await else { return };
-        let next = tokio::select! {
+        let stream = tokio::select! {
             biased;
             _ = on.changed() => continue,
-            next = listener.accept() => next,
-        };
-        let stream = match next {
-            Ok((stream, _)) => stream,
-            Err(e) => {
-                slog::warn!(hub.log, "a connection could not be accepted"; "error" => %e);
-                tokio::time::sleep(span(REST)).await;
-                continue;
-            }
+            stream = next(&listener, "a connection", &hub) => stream,
         };
-        // Lines are short and wait for nothing.
-        _ = stream.set_nodelay(true);
         let (hub, log) = (hub.clone(), hub.log.clone());
         let task = async move {
             let (conn, commands) = hub.register();
@@ -47,3 +35,23 @@
         tokio::task::yield_now().await;
     }
 }
+
+/// The next connection; one that can't be accepted is logged as what it is.
+pub async fn next(listener: &TcpListener, what: &str, hub: &Hub) -> TcpStream {
+    // Long enough not to spin while descriptors are short, short against every dial timeout and the second
+    // in which an operator is owed an answer.
+    const REST: u64 = 20_000;
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                // Lines are short and wait for nothing.
+                _ = stream.set_nodelay(true);
+                return stream;
+            }
+            Err(e) => {
+                slog::warn!(hub.log, "{} could not be accepted", what; "error" => %e);
+                tokio::time::sleep(span(REST)).await;
+            }
+        }
+    }
+}
--- a/relay/src/net/admit.rs
+++ b/relay/src/net/admit.rs
@@ -31,7 +31,7 @@
             Some(Command::Dial { dial, addr, wait }) => {
                 let line = lines::onward(&asked.line, &asked.wait_at, wait / 1000);
                 let ended = tokio::select! {
-                    ended = dial::run(conn, addr, &line, wait, hub) => ended,
+                    ended = dial::run(addr, &line, wait, hub) => ended,
                     // Leaving this drops the dial, which gives it up.
                     more = stirs(&client, &mut buffer) => {
                         return stirred(more, conn, client, commands, hub).await;
--- a/relay/src/net/dial.rs
+++ b/relay/src/net/dial.rs
@@ -4,7 +4,7 @@
 use crate::clock::span;
 use crate::lines::{self, Said};
 use crate::reducer::Event;
-use hallrelay::types::{DialEnd, Micros, Report, SessId};
+use hallrelay::types::{DialEnd, Micros, Report};
 use std::net::SocketAddr;
 use tokio::net::TcpStream;
 use tokio::time::{timeout, timeout_at, Instant};
@@ -24,7 +24,7 @@
 }
 
 /// Whether the last byte of the line was written tells whether the dial may have run.
-pub async fn run(sess: SessId, addr: SocketAddr, line: &[u8], wait: Micros, hub: &Hub) -> Ended {
+pub async fn run(addr: SocketAddr, line: &[u8], wait: Micros, hub: &Hub) -> Ended {
     let limits = hub.limits();
     let over = Instant::now() + span(wait);
     let never = Ended::Not(DialEnd::Unconnected, None);
@@ -35,7 +35,7 @@
     if !end::write(&stream, line, wait).await {
         return never;
     }
-    hub.tell(Event::Written { sess }).await;
+    hub.tell(Event::Written).await;
     let mut buffer = Buffer::new(limits.buffer_first, limits.buffer_most);
     let answer = read::line(&stream, &mut buffer, limits.line);
     let Ok(answer) = timeout_at(over, answer).await else {
--- a/relay/src/net/first_line.rs
+++ b/relay/src/net/first_line.rs
@@ -45,8 +45,8 @@
             Next::Line(line) => line,
             Next::Part => {
                 // Guards a client that is slow: as long as its line grows it has a little more time.
-                let more = Instant::now() + span(limits.first_line_pause);
-                over = over.max(more.min(came + span(limits.first_line_most)));
+                let pause = Instant::now() + span(limits.first_line_pause);
+                over = over.max(pause.min(came + span(limits.first_line_most)));
                 hub.tell(Event::Stirred { conn }).await;
                 continue;
             }
--- a/relay/src/net/handover.rs
+++ b/relay/src/net/handover.rs
@@ -1,9 +1,9 @@
-//! The Unix socket over which a process gives its place to the next one: in `$TMPDIR`, open to its owner alone,
-//! a line of JSON a message, the listening socket beside the offer.
+//! The Unix socket over which a process gives its place to the next one: in `$TMPDIR`, open to its owner
+//! alone, a line of JSON a message, the listening socket beside the offer.
 use super::{pass, Hub};
 use crate::clock::span;
+use crate::lines::plain;
 use crate::reducer::Event;
-use hallrelay::types::SessId;
 use hallrelay_config::node::Node;
 use hallrelay_handover::message::{decode, encode, LONGEST, VERSION};
 use hallrelay_handover::place::{Event as Heard, Peer};
@@ -13,6 +13,7 @@
     SendAncillaryMessage, SendFlags,
 };
 use std::collections::VecDeque;
+use std::future::Future;
 use std::io::{self, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
 use std::net::TcpListener as Listener;
@@ -28,7 +29,7 @@
 use tokio::time::timeout;
 
 /// The process before this one, as the reducer knows it; those after it are counted from here.
-pub const BEFORE: Peer = 0;
+const BEFORE: Peer = 0;
 /// The most sockets beside one message: a session's client and its backend.
 const SOCKETS: usize = 2;
 
@@ -37,9 +38,7 @@
     // What the system has room for in an address, with its end.
     const LONGEST_PATH: usize = 107;
     let folder = std::env::var_os("TMPDIR").filter(|f| !f.is_empty()).ok_or("TMPDIR is not set")?;
-    let plain = |c: char| if c.is_ascii_alphanumeric() || "-_".contains(c) { c } else { '_' };
-    let name: String = node.name.chars().take(64).map(plain).collect();
-    let path = Path::new(&folder).join(format!("hallrelay-{name}.sock"));
+    let path = Path::new(&folder).join(format!("hallrelay-{:.64}.sock", plain(&node.name)));
     if path.as_os_str().len() > LONGEST_PATH {
         return Err("the path of TMPDIR is too long");
     }
@@ -136,26 +135,30 @@
 /// What goes to another process.
 pub enum Out {
     Say(Message),
-    /// A session; whether it is gone, or comes back with its sockets.
-    Pass(Passed, oneshot::Sender<Result<(), Passed>>),
+    /// A session, as a message with its sockets; whether these are gone, or come back.
+    Pass(Vec<u8>, Sockets, oneshot::Sender<Result<(), Sockets>>),
 }
 
-/// An open session on its way, with its two sockets.
-pub struct Passed {
-    pub session: Box<Session>,
+/// An open session's client and backend.
+pub struct Sockets {
     pub client: TcpStream,
     pub backend: TcpStream,
 }
 
-/// Passes a session on to another process; where that is not there any more, it comes back.
-pub async fn pass(peer: Peer, conn: SessId, passed: Passed, hub: &Hub) -> Result<(), Option<Passed>> {
+/// Passes a session on to another process; where that is not there any more, its sockets come back.
+pub async fn pass(
+    peer: Peer,
+    session: Box<Session>,
+    sockets: Sockets,
+    hub: &Hub,
+) -> Result<(), Option<Sockets>> {
     let way = hub.peers.borrow().get(&peer).cloned();
-    let Some(way) = way else { return Err(Some(passed)) };
+    let Some(way) = way else { return Err(Some(sockets)) };
+    let Ok(line) = encode(&Message::Session(session)) else { return Err(Some(sockets)) };
     let (told, gone) = oneshot::channel();
-    slog::trace!(hub.log, "a session passes to another process"; "conn" => conn);
-    match way.send(Out::Pass(passed, told)).await {
+    match way.send(Out::Pass(line, sockets, told)).await {
         Ok(()) => gone.await.map_err(|_| None)?.map_err(Some),
-        Err(mpsc::error::SendError(Out::Pass(passed, _))) => Err(Some(passed)),
+        Err(mpsc::error::SendError(Out::Pass(_, sockets, _))) => Err(Some(sockets)),
         Err(_) => Err(None),
     }
 }
@@ -181,11 +184,9 @@
             continue;
         }
         last = last.wrapping_add(1).max(BEFORE + 1);
-        let (to, said) = mpsc::channel(hub.limits().passing);
-        hub.peers.borrow_mut().insert(last, to);
-        let (hub, listener) = (hub.clone(), listener.clone());
+        let talk = talk(last, stream, Some(listener.clone()), hub.clone());
         tokio::task::spawn_local(async move {
-            talk(last, stream, said, Some(listener), hub).await;
+            talk.await;
             drop(permit);
         });
     }
@@ -203,8 +204,19 @@
     Ok(door)
 }
 
-/// Carries messages both ways till either side ends it.
-pub async fn talk(
+/// Carries messages both ways till either side ends it; from now on what is said to the other is heard.
+fn talk(
+    peer: Peer,
+    stream: UnixStream,
+    listener: Option<Rc<TcpListener>>,
+    hub: Hub,
+) -> impl Future<Output = ()> {
+    let (to, said) = mpsc::channel(hub.limits().passing);
+    hub.peers.borrow_mut().insert(peer, to);
+    carry(peer, stream, said, listener, hub)
+}
+
+async fn carry(
     peer: Peer,
     stream: UnixStream,
     mut said: mpsc::Receiver<Out>,
@@ -240,14 +252,11 @@
                         break;
                     }
                 }
-                Some(Out::Pass(one, told)) => {
-                    let beside = [one.client.as_fd(), one.backend.as_fd()];
-                    let gone = match encode(&Message::Session(one.session.clone())) {
-                        Ok(bytes) => say(&stream, &bytes, &beside, &hub).await,
-                        Err(_) => false,
-                    };
+                Some(Out::Pass(line, sockets, told)) => {
+                    let beside = [sockets.client.as_fd(), sockets.backend.as_fd()];
+                    let gone = say(&stream, &line, &beside, &hub).await;
                     // Who waits for it is a task of this process, and lives.
-                    _ = told.send(if gone { Ok(()) } else { Err(one) });
+                    _ = told.send(if gone { Ok(()) } else { Err(sockets) });
                     if !gone {
                         break;
                     }
@@ -259,8 +268,8 @@
     // Sessions that were still to pass come back to their tasks.
     said.close();
     while let Some(out) = said.recv().await {
-        if let Out::Pass(one, told) = out {
-            _ = told.send(Err(one));
+        if let Out::Pass(_, sockets, told) = out {
+            _ = told.send(Err(sockets));
         }
     }
     hub.tell(Event::Place(Heard::Left { peer })).await;
@@ -284,11 +293,11 @@
                     let one = one.set_nonblocking(true).and_then(|()| TcpStream::from_std(one));
                     one.map_err(|e| format!("a session's socket: {e}"))
                 };
-                let came = Passed { session, client: socket()?, backend: socket()? };
+                let sockets = Sockets { client: socket()?, backend: socket()? };
                 let hub = hub.clone();
                 tokio::task::spawn_local(async move {
                     let (conn, commands) = hub.register();
-                    pass::resume(conn, came, commands, &hub).await;
+                    pass::resume(conn, session, sockets, commands, &hub).await;
                     hub.conns.borrow_mut().remove(&conn);
                     hub.tell(Event::Gone { sess: conn }).await;
                 });
@@ -303,11 +312,9 @@
 }
 
 /// The process before this one, spoken to from now on like any other.
-pub fn begin(talk_to: Stream, hub: &Hub) -> io::Result<()> {
+pub fn begin(talk_to: Stream, hub: &Hub) -> io::Result<Peer> {
     talk_to.set_nonblocking(true)?;
     let stream = UnixStream::from_std(talk_to)?;
-    let (to, said) = mpsc::channel(hub.limits().passing);
-    hub.peers.borrow_mut().insert(BEFORE, to);
-    tokio::task::spawn_local(talk(BEFORE, stream, said, None, hub.clone()));
-    Ok(())
+    tokio::task::spawn_local(talk(BEFORE, stream, None, hub.clone()));
+    Ok(BEFORE)
 }
--- a/relay/src/net/operator.rs
+++ b/relay/src/net/operator.rs
@@ -1,7 +1,7 @@
-//! The second address, for operators: HTTP/1.1, one call a connection. What is asked goes to the reducer ahead
-//! of all that waits from sessions; connections here have places of their own, and who holds one without a
-//! whole call gives it up to the next.
-use super::Hub;
+//! The second address, for operators: HTTP/1.1, one call a connection. What is asked goes to the reducer
+//! ahead of all that waits from sessions; connections here have places of their own, and who holds one
+//! without a whole call gives it up to the next.
+use super::{accept, Hub};
 use crate::clock::span;
 use crate::figures;
 use crate::reducer::{Call, Reply};
@@ -10,7 +10,7 @@
 use hyper::header::{HeaderValue, ALLOW, CONTENT_TYPE, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::collections::VecDeque;
 use std::convert::Infallible;
@@ -22,26 +22,17 @@
 pub(super) type Calls = mpsc::Sender<(Call, oneshot::Sender<Reply>)>;
 
 /// Path, method, and what it asks for.
-const CALLS: [(&str, Method, Call); 4] = [
-    ("/v1/readyz", Method::GET, Call::Ready),
-    ("/v1/metrics", Method::GET, Call::Figures),
-    ("/v1/relay/drain", Method::POST, Call::Drain),
-    ("/v1/relay/activate", Method::POST, Call::Activate),
+const CALLS: [(&str, &str, Call); 4] = [
+    ("/v1/readyz", "GET", Call::Ready),
+    ("/v1/metrics", "GET", Call::Figures),
+    ("/v1/relay/drain", "POST", Call::Drain),
+    ("/v1/relay/activate", "POST", Call::Activate),
 ];
 
 pub(super) async fn run(listener: TcpListener, calls: Calls, hub: Hub) {
-    // As for clients: long enough not to spin, short against the second in which an answer is owed.
-    const REST: u64 = 20_000;
     let mut open: VecDeque<JoinHandle<()>> = VecDeque::new();
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(e) => {
-                slog::warn!(hub.log, "an operator's connection could not be accepted"; "error" => %e);
-                tokio::time::sleep(span(REST)).await;
-                continue;
-            }
-        };
+        let stream = accept::next(&listener, "an operator's connection", &hub).await;
         open.retain(|task| !task.is_finished());
         if open.len() >= hub.limits().callers {
             // Guards a caller whose call is whole against those that hold a place and never say theirs.
@@ -52,7 +43,6 @@
 }
 
 async fn one(stream: TcpStream, calls: Calls, hub: Hub) {
-    _ = stream.set_nodelay(true);
     let limits = hub.limits();
     let service = service_fn(|asked| async {
         let answer = answer(asked, &calls, limits.call_body).await;
@@ -74,26 +64,25 @@
 
 async fn answer(asked: Request<Incoming>, calls: &Calls, most: usize) -> Response<Full<Bytes>> {
     let path = asked.uri().path();
-    let Some((_, method, what)) = CALLS.iter().find(|call| call.0 == path) else {
-        return say(StatusCode::NOT_FOUND, "no such call\n");
+    let Some(&(_, method, what)) = CALLS.iter().find(|call| call.0 == path) else {
+        return say(StatusCode::NOT_FOUND, "no such call");
     };
     if asked.method() != method {
-        let mut no = say(StatusCode::METHOD_NOT_ALLOWED, "this call has another method\n");
-        no.headers_mut()
-            .insert(ALLOW, HeaderValue::from_static(if *method == Method::GET { "GET" } else { "POST" }));
+        let mut no = say(StatusCode::METHOD_NOT_ALLOWED, "this call has another method");
+        no.headers_mut().insert(ALLOW, HeaderValue::from_static(method));
         return no;
     }
     // Nothing in a body has a meaning here, but it belongs to the call.
     match Limited::new(asked.into_body(), most).collect().await {
         Err(e) if e.is::<LengthLimitError>() => {
-            return say(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n")
+            return say(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large")
         }
-        Err(_) => return say(StatusCode::BAD_REQUEST, "the body is not whole\n"),
+        Err(_) => return say(StatusCode::BAD_REQUEST, "the body is not whole"),
         Ok(_) => {}
     }
     let (to, reply) = oneshot::channel();
-    if calls.send((*what, to)).await.is_err() {
-        return say(StatusCode::SERVICE_UNAVAILABLE, "stopping\n");
+    if calls.send((what, to)).await.is_err() {
+        return say(StatusCode::SERVICE_UNAVAILABLE, "stopping");
     }
     match reply.await {
         Ok(Reply::Yes(word)) => say(StatusCode::OK, word),
@@ -104,7 +93,7 @@
         }
         Ok(Reply::Conflict(word)) => say(StatusCode::CONFLICT, word),
         Ok(Reply::Figures(figures)) => say(StatusCode::OK, figures::text(&figures)),
-        Err(_) => say(StatusCode::SERVICE_UNAVAILABLE, "stopping\n"),
+        Err(_) => say(StatusCode::SERVICE_UNAVAILABLE, "stopping"),
     }
 }
 
--- a/relay/src/net/pass.rs
+++ b/relay/src/net/pass.rs
@@ -1,6 +1,7 @@
 //! An open session: lines pass both ways unchanged, and what they tell of load and delay goes to the reducer.
 use super::dial::Backend;
-use super::{end, handover, Command, Hub};
+use super::handover::{self, Sockets};
+use super::{end, Command, Hub};
 use crate::buffer::Buffer;
 use crate::lines::{self, Said};
 use crate::reducer::Event;
@@ -47,21 +48,22 @@
 
     /// False where a line is longer than lines may be.
     fn client_lines(&mut self, lines: &[u8]) -> bool {
-        let now = self.hub.clock.now();
+        let (now, limits) = (self.hub.clock.now(), self.hub.limits());
         lines::whole(lines).all(|line| {
-            if self.unanswered.len() < self.hub.limits().unanswered {
+            if self.unanswered.len() < limits.unanswered {
                 self.unanswered.push_back(now);
             }
-            line.len() <= self.hub.limits().line
+            line.len() <= limits.line
         })
     }
 
     async fn backend_lines(&mut self, lines: &[u8]) -> bool {
+        let (most, order) = (self.hub.limits().line, self.hub.order());
         for line in lines::whole(lines) {
-            if line.len() > self.hub.limits().line {
+            if line.len() > most {
                 return false;
             }
-            match lines::said(line, self.hub.order()) {
+            match lines::said(line, order) {
                 Said::Load(load) => self.hub.tell(Event::Load { sess: self.conn, load }).await,
                 Said::Bye(report) => self.last = Some((DialEnd::Ok, report)),
                 Said::Move => self.last = Some((DialEnd::Recalled, None)),
@@ -114,8 +116,14 @@
 }
 
 /// Goes on with a session that another process had, once the reducer has it.
-pub async fn resume(conn: SessId, came: handover::Passed, mut commands: Receiver<Command>, hub: &Hub) {
-    let handover::Passed { session, client, backend } = came;
+pub async fn resume(
+    conn: SessId,
+    session: Box<Session>,
+    sockets: Sockets,
+    mut commands: Receiver<Command>,
+    hub: &Hub,
+) {
+    let Sockets { client, backend } = sockets;
     let (first, most) = (hub.limits().buffer_first, hub.limits().buffer_most);
     let (up, down) = (Buffer::holding(&session.up, first, most), Buffer::holding(&session.down, first, most));
     let mut ear = Ear::new(conn, hub);
@@ -136,7 +144,7 @@
     mut ear: Ear<'_>,
 ) {
     let (conn, hub) = (ear.conn, ear.hub);
-    let over = loop {
+    loop {
         match both(&client, &mut up, &backend, &mut down, &mut commands, &mut ear).await {
             // One whose last word was heard ends here, at once.
             Over::Passed(peer, session) if ear.last.is_none() => {
@@ -146,8 +154,7 @@
                     unanswered: ear.unanswered.iter().map(|then| hub.clock.now() - then).collect(),
                     ..*session
                 });
-                let passed = handover::Passed { session, client, backend };
-                match handover::pass(peer, conn, passed, hub).await {
+                match handover::pass(peer, session, Sockets { client, backend }, hub).await {
                     Ok(()) => return hub.tell(Event::Passed { sess: conn }).await,
                     Err(Some(back)) => (client, backend) = (back.client, back.backend),
                     // Its sockets are of no use to this process any more.
@@ -156,29 +163,27 @@
                 hub.tell(Event::Stays { sess: conn }).await;
             }
             Over::Passed(..) => hub.tell(Event::Stays { sess: conn }).await,
-            over => break over,
-        }
-    };
-    match over {
-        Over::ClientEnded => {
-            hub.tell(Event::Gone { sess: conn }).await;
-            if end::write(&backend, up.lines(), hub.limits().end).await {
-                end::orderly(backend, hub).await;
+            Over::ClientEnded => {
+                hub.tell(Event::Gone { sess: conn }).await;
+                if end::write(&backend, up.lines(), hub.limits().end).await {
+                    end::orderly(backend, hub).await;
+                }
+                return;
+            }
+            Over::ClientBroke => return end::abrupt(backend),
+            Over::Closed => return,
+            Over::Backend(how, report) => {
+                hub.tell(Event::Ended { sess: conn, end: how, report }).await;
+                // Guards a client that would not know why: whom no last word told, is told to come again.
+                let word: &[u8] = if how == DialEnd::Reset { lines::MOVE } else { b"" };
+                drop(backend);
+                return say(client, &down, word, &mut commands, hub).await;
+            }
+            Over::Moved => {
+                drop(backend);
+                hub.tell(Event::Ended { sess: conn, end: DialEnd::Recalled, report: None }).await;
+                return say(client, &down, lines::MOVE, &mut commands, hub).await;
             }
-        }
-        Over::ClientBroke => end::abrupt(backend),
-        Over::Closed | Over::Passed(..) => {}
-        Over::Backend(how, report) => {
-            hub.tell(Event::Ended { sess: conn, end: how, report }).await;
-            // Guards a client that would not know why: whom no last word told, is told to come again.
-            let word: &[u8] = if how == DialEnd::Reset { lines::MOVE } else { b"" };
-            drop(backend);
-            say(client, &down, word, &mut commands, hub).await;
-        }
-        Over::Moved => {
-            drop(backend);
-            hub.tell(Event::Ended { sess: conn, end: DialEnd::Recalled, report: None }).await;
-            say(client, &down, lines::MOVE, &mut commands, hub).await;
         }
     }
 }
--- a/relay/src/net/serve.rs
+++ b/relay/src/net/serve.rs
@@ -62,13 +62,8 @@
     // A wave of clients that return at once waits here, and not for its own next try.
     const BACKLOG: u32 = 1024;
     // Only where operators run it: without a second address nobody could tell when a new process is ready.
-    let door = match node.operator.map(|_| handover::door(&node)) {
-        Some(Err(why)) => {
-            slog::warn!(log, "no process can take this one's place"; "why" => why);
-            None
-        }
-        door => door.and_then(Result::ok),
-    };
+    let none = |why: &&str| slog::warn!(log, "no process can take this one's place"; "why" => *why);
+    let door = node.operator.and_then(|_| handover::door(&node).inspect_err(none).ok());
     let offer = door.as_deref().map_or(Ok(None), |path| handover::ask(path, &node));
     let offer = offer.map_err(std::io::Error::other)?;
     let (before, listener) = match offer {
@@ -79,7 +74,7 @@
     let (to_calls, mut calls) = mpsc::channel(limits.callers);
     if let Some(place) = node.operator {
         let listener = listen(place, limits.callers as u32)?;
-        tokio::task::spawn_local(operator::run(listener, to_calls.clone(), hub.clone()));
+        tokio::task::spawn_local(operator::run(listener, to_calls, hub.clone()));
     }
     slog::info!(log, "serving"; "name" => &node.name, "listen" => %node.listen, "limits" => ?limits);
 
@@ -96,13 +91,9 @@
         exit: None,
     };
     tokio::task::spawn_local(accept::run(listener, taken, hub.clone()));
-    let place = before.is_some().then_some(handover::BEFORE);
-    before.map_or(Ok(()), |talk| handover::begin(talk, &hub))?;
-    let (mut reducer, mut effects) = (Reducer::new(node, place), Vec::new());
+    let before = before.map(|talk| handover::begin(talk, &hub)).transpose()?;
+    let (mut reducer, mut effects) = (Reducer::new(node, before), Vec::new());
     reducer.start(clock.now(), &mut effects);
-    if let Some(before) = place {
-        reducer.could_take_over(before, &mut effects);
-    }
     hands.carry_out(&mut effects);
     tokio::task::spawn_local(stop::run(signals, reread, hub));
     while hands.exit.is_none() {
@@ -162,7 +153,7 @@
             slog::trace!(self.hub.log, "effect"; "what" => ?effect);
             match effect {
                 Effect::Pong { conn } => self.hub.command(conn, Command::Pong(lines::PONG)),
-                Effect::Deny { conn } => self.hub.command(conn, Command::Pong(lines::DENIED)),
+                Effect::Deny { conn } => self.hub.command(conn, Command::Pong(lines::BUSY)),
                 Effect::Reply { call, reply } => {
                     // Who asked may be gone by now.
                     _ = self.calls.remove(&call).map(|answer| answer.send(reply));
--- a/relay/src/reducer/duty.rs
+++ b/relay/src/reducer/duty.rs
@@ -1,9 +1,10 @@
-//! Whether this process serves, drains or stops: one table for all that is told to it, by operators or signals.
-//! What a drain or a stop does to sessions stands here too.
+//! Whether this process serves, drains or stops: one table for all that is told to it, by operators or
+//! signals. What a drain or a stop does to sessions stands here too.
+use super::place::note;
 use super::{Alarm, Call, Effect, Reducer, Reply, Stage};
-use hallrelay::types::{Input, Micros, SessId};
+use hallrelay::types::{Micros, SessId};
 use hallrelay_config::limits::Limits;
-use Act::{Begin, Empty, Nothing, Refuse, Resume, Yield};
+use Act::{Begin, BeginEmpty, Empty, Nothing, Refuse, Resume, Yield};
 use Duty::{Away, Draining, Leaving, Relieved, Serving, Stopping, Waiting};
 
 /// How things stand, in a word for operators.
@@ -44,6 +45,8 @@
     Begin,
     /// Sessions are moved bit by bit.
     Empty,
+    /// Both.
+    BeginEmpty,
     /// Who was not yet moved stays, and `PING` is answered again.
     Resume,
     /// No connection is taken any more.
@@ -55,7 +58,7 @@
 /// State, input, next state, effect. What is not listed changes nothing.
 const TABLE: &[(Duty, Sign, Duty, Act)] = &[
     (Waiting, Sign::Take, Serving, Begin),
-    (Waiting, Sign::TakeDrained, Draining, Begin),
+    (Waiting, Sign::TakeDrained, Draining, BeginEmpty),
     (Waiting, Sign::Drain, Waiting, Refuse),
     (Waiting, Sign::Activate, Waiting, Refuse),
     (Waiting, Sign::Stop, Leaving, Empty),
@@ -108,7 +111,7 @@
         let same = matches!((from, next), (Draining, Away) | (Away, Draining) | (Stopping, Leaving));
         self.duty = next;
         if from != next {
-            self.note(&format!("from {} to {}", from.word(), next.word()), out);
+            note(format!("from {} to {}", from.word(), next.word()), out);
         }
         if from != next && !same {
             (self.since, self.round, self.owed) = (self.now, self.round + 1, 999);
@@ -117,11 +120,12 @@
             Empty => self.begin_to_empty(out),
             Begin => {
                 out.push(Effect::Accept { on: true });
-                if next == Draining && !same {
-                    self.begin_to_empty(out);
-                }
                 self.pong(out);
             }
+            BeginEmpty => {
+                out.push(Effect::Accept { on: true });
+                self.begin_to_empty(out);
+            }
             Yield => out.push(Effect::Accept { on: false }),
             Resume => self.pong(out),
             Nothing | Refuse => {}
@@ -194,7 +198,7 @@
             }
         }
         if since >= by {
-            self.give_up(out);
+            self.answer_all(out);
             if self.draining().is_some() && self.sessions.is_empty() && !self.takes() {
                 return;
             }
@@ -210,24 +214,17 @@
         out.push(Effect::Alarm { after: TICK, alarm: Alarm::Emptying(self.round) });
     }
 
-    /// Who waits for an answer still as a drain or a stop ends (its dial timeout may be of older settings) gets it: a refusal where nothing was sent, else a failure.
-    fn give_up(&mut self, out: &mut Vec<Effect>) {
-        let waiting = |s: &super::Sess| matches!(s.stage, Stage::Admit | Stage::Dial);
-        let left: Vec<SessId> = self.sessions.iter().filter(|(_, s)| waiting(s)).map(|(id, _)| *id).collect();
-        for sess in left {
-            let theirs = self.sessions[&sess].standing.is_none();
-            match self.sessions[&sess].dials {
-                0 => self.refuse(sess, out),
-                _ => self.answer(sess, Effect::TearDown { sess }, out),
-            }
-            if theirs {
-                self.tell(Input::Left { sess }, out);
-            }
+    /// Who waits for an answer still as a drain or a stop ends (its dial timeout may be of older settings)
+    /// gets it: a refusal where nothing was sent, else a failure.
+    fn answer_all(&mut self, out: &mut Vec<Effect>) {
+        let left = self.sessions.iter().filter(|(_, s)| s.stage.waits());
+        let left: Vec<(SessId, u32)> = left.map(|(id, s)| (*id, s.dials)).collect();
+        for (sess, dials) in left {
+            let answer = match dials {
+                0 => Effect::Refuse { sess, retry_after: 0 },
+                _ => Effect::TearDown { sess },
+            };
+            self.give_up(sess, answer, out);
         }
     }
-
-    /// A refusal that is the program's own: the client may come again as soon as it likes.
-    pub(super) fn refuse(&mut self, sess: SessId, out: &mut Vec<Effect>) {
-        self.answer(sess, Effect::Refuse { sess, retry_after: 0 }, out);
-    }
 }
--- a/relay/src/reducer/figures.rs
+++ b/relay/src/reducer/figures.rs
@@ -1,5 +1,5 @@
 //! What operators are told in numbers: counted where the state changes, read as a whole.
-use super::{Reducer, Stage};
+use super::Reducer;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -24,7 +24,7 @@
     /// Configurations used and not used, after the first.
     pub loads: u64,
     pub load_errors: u64,
-    /// Of this moment: sessions, those without an answer, servers that the list names, those that are avoided.
+    /// Of this moment: sessions, those without an answer, servers that the list names, those avoided.
     pub in_progress: usize,
     pub waiting: usize,
     pub known: usize,
@@ -53,11 +53,10 @@
 impl Reducer {
     /// The figures as they are now.
     pub fn figures(&self) -> Figures {
-        let waits = |stage| matches!(stage, Stage::Admit | Stage::Dial);
         let listed = self.servers.iter().filter(|(_, v)| v.told.phase != hallrelay::types::Phase::Gone);
         Figures {
             in_progress: self.sessions.len(),
-            waiting: self.sessions.values().filter(|s| waits(s.stage)).count(),
+            waiting: self.sessions.values().filter(|s| s.stage.waits()).count(),
             known: listed.clone().count(),
             avoided: listed.filter(|(&server, _)| self.module.avoids(self.now, server)).count(),
             ..self.figures.clone()
--- a/relay/src/reducer/mod.rs
+++ b/relay/src/reducer/mod.rs
@@ -73,9 +73,7 @@
         sess: SessId,
     },
     /// A dial's line is written whole.
-    Written {
-        sess: SessId,
-    },
+    Written,
     Up {
         sess: SessId,
         dial: u32,
@@ -278,6 +276,13 @@
     Passing,
 }
 
+impl Stage {
+    /// For its answer.
+    fn waits(self) -> bool {
+        matches!(self, Stage::Admit | Stage::Dial)
+    }
+}
+
 struct Sess {
     id: u64,
     /// The name of its listener, as it was when it came.
@@ -290,7 +295,7 @@
     /// When its backend told a figure last.
     told: Option<Micros>,
     /// A connection that stood before this relay started: not the module's until it is up.
-    standing: Option<Asked>,
+    standing: bool,
 }
 
 struct Server {
@@ -346,10 +351,9 @@
     place: Place,
     /// What the process before this one holds still: connections, and sessions among them.
     shared: (usize, u32),
-    /// The process that has this one's place.
-    after: Option<Peer>,
     /// Marks of sessions there.
     their_marks: HashSet<u64>,
+    /// What the process after this one was told that is held here, in the same terms.
     held: (u32, u32),
     asks: Vec<module::Effect>,
 }
@@ -360,7 +364,6 @@
         Reducer {
             place: Place::new(&node.name, &node.listen.to_string(), before),
             shared: (0, 0),
-            after: None,
             their_marks: HashSet::new(),
             held: (0, 0),
             module: Relay::new(node.site.facts.clone(), node.seed),
@@ -411,7 +414,7 @@
                 self.aside.retain(|one| one.0 != sess);
                 self.pings.retain(|conn| *conn != sess);
             }
-            Event::Written { sess: _ } => self.figures.tries += 1,
+            Event::Written => self.figures.tries += 1,
             Event::Up { sess, dial } if self.current(sess, dial) => self.up(sess, dial, out),
             Event::DialEnded { sess, dial, end, report } if self.current(sess, dial) => {
                 self.dial_ended(sess, dial, end, report, out);
@@ -492,8 +495,7 @@
             Alarm::Again(sess) => self.again(sess, out),
             Alarm::Due(sess) => {
                 // Dials end and the module answers before this; it guards against a task that does neither.
-                let unanswered = |s: &&Sess| matches!(s.stage, Stage::Admit | Stage::Dial);
-                if self.sessions.get(&sess).filter(unanswered).is_some() {
+                if self.sessions.get(&sess).is_some_and(|s| s.stage.waits()) {
                     self.lapse(sess, out);
                 }
             }
--- a/relay/src/reducer/place.rs
+++ b/relay/src/reducer/place.rs
@@ -5,22 +5,21 @@
 use hallrelay::types::{Asked, Input, Memory, Micros, Phase, Report, SessId};
 use hallrelay_config::list::{self, List};
 use hallrelay_handover::place::{Act, Event as Heard, Peer, PATIENCE};
-use hallrelay_handover::{Message, Open, Server, Session, State};
+use hallrelay_handover::{Message, Server, Session, State};
 
 impl Reducer {
-    /// The process has its place from the start, or tells the one before it that it could take over.
+    /// The process has its place from the start, or tells the one before it that it could take over: it has
+    /// all that it needs, its second address, its configuration, its list.
     pub(super) fn begin(&mut self, out: &mut Vec<Effect>) {
-        if self.place.has() {
-            out.push(Effect::Accept { on: true });
-            out.push(Effect::Door { open: true });
+        match self.place.before() {
+            Some(peer) => out.push(Effect::Tell { peer, message: Message::Ready {} }),
+            None => {
+                out.push(Effect::Accept { on: true });
+                out.push(Effect::Door { open: true });
+            }
         }
     }
 
-    /// Said once all is there that this process needs: its second address, its configuration, its list.
-    pub fn could_take_over(&mut self, before: Peer, out: &mut Vec<Effect>) {
-        out.push(Effect::Tell { peer: before, message: Message::Ready {} });
-    }
-
     pub(super) fn placed(&mut self, heard: Heard, out: &mut Vec<Effect>) {
         let mut acts = Vec::new();
         self.place.step(heard, &mut acts);
@@ -33,8 +32,7 @@
                 }
                 Act::Yield { peer } => self.yield_to(peer, out),
                 Act::Return => {
-                    self.after = None;
-                    self.note("the new process died, and this one takes connections again", out);
+                    note("the new process died, and this one takes connections again", out);
                     self.turn(Sign::Return, out);
                     out.push(Effect::Door { open: true });
                 }
@@ -46,24 +44,19 @@
                         self.their_marks.clear();
                     }
                 }
-                Act::Note(what) => self.note(&what, out),
+                Act::Note(what) => note(what, out),
             }
         }
     }
 
-    pub(super) fn note(&self, what: &str, out: &mut Vec<Effect>) {
-        out.push(Effect::Note { what: what.to_string() });
-    }
-
     /// One step: from here on the other process takes what comes, and knows what this one knew.
     fn yield_to(&mut self, peer: Peer, out: &mut Vec<Effect>) {
         let state = Box::new(self.state());
         self.held = (state.connections, state.open.len() as u32);
-        self.note("another process has this one's place", out);
+        note("another process has this one's place", out);
         out.push(Effect::Door { open: false });
         self.turn(Sign::Yield, out);
         out.push(Effect::Tell { peer, message: Message::Yours(state) });
-        self.after = Some(peer);
         let open: Vec<SessId> = self.sessions.keys().copied().collect();
         open.into_iter().for_each(|sess| self.pass_on(sess, out));
         self.holding(out);
@@ -71,7 +64,7 @@
 
     /// A session that is open passes to the process that has the place; a drain moves it from here.
     pub(super) fn pass_on(&mut self, sess: SessId, out: &mut Vec<Effect>) {
-        let Some(peer) = self.after.filter(|_| self.draining().is_none()) else { return };
+        let Some(peer) = self.place.after().filter(|_| self.draining().is_none()) else { return };
         let Some(s) = self.sessions.get_mut(&sess).filter(|s| s.stage == Stage::Pass) else { return };
         let Some(told) = s.server.and_then(|id| self.servers.get(&id)).map(|v| &v.told) else { return };
         let session = Session {
@@ -111,7 +104,7 @@
             dials: 1,
             due: self.now,
             told: None,
-            standing: None,
+            standing: false,
         };
         self.their_marks.remove(&session.mark);
         self.marks.insert(session.mark);
@@ -141,19 +134,19 @@
             servers: memory.into_iter().filter_map(server).collect(),
             step,
             draining: self.draining().map(|since| self.now - since),
-            open: self.sessions.values().map(|s| Open { mark: s.id }).collect(),
+            open: self.sessions.values().map(|s| s.id).collect(),
             connections: (self.sessions.len() + self.aside.len()) as u32,
         }
     }
 
     fn take_over(&mut self, state: Option<Box<State>>, out: &mut Vec<Effect>) {
         let Some(state) = state else {
-            self.note("the process before this one died as it was to be replaced", out);
+            note("the process before this one died as it was to be replaced", out);
             self.turn(Sign::Take, out);
             return out.push(Effect::Door { open: true });
         };
-        self.note("this process has the place of the one before it", out);
-        // The watch of this process may have heard more by now; and a list that can't be read is no reason to stop.
+        note("this process has the place of the one before it", out);
+        // The watch of this process may have heard more by now; and a list that can't be read stops nothing.
         if let Some(told) = state.list.and_then(|told| list::parse(told.to_string().as_bytes()).ok()) {
             if self.generation.is_none_or(|own| own < told.generation) {
                 self.list(List { whole: true, ..told }, out);
@@ -168,7 +161,7 @@
         };
         let servers = state.servers.into_iter().filter_map(memory).collect();
         self.tell(Input::Remember { step: state.step, servers }, out);
-        self.their_marks = state.open.iter().map(|open| open.mark).collect();
+        self.their_marks = state.open.into_iter().collect();
         match state.draining {
             None => _ = self.turn(Sign::Take, out),
             Some(ago) => {
@@ -194,3 +187,8 @@
         out.push(Effect::Alarm { after: BEAT, alarm: Alarm::Holding });
     }
 }
+
+/// A line for the log.
+pub(super) fn note(what: impl Into<String>, out: &mut Vec<Effect>) {
+    out.push(Effect::Note { what: what.into() });
+}
--- a/relay/src/reducer/sessions.rs
+++ b/relay/src/reducer/sessions.rs
@@ -41,9 +41,8 @@
     /// A session ends by its client's doing; the module knows it, unless it still waits to stand again.
     pub(super) fn left(&mut self, sess: SessId, out: &mut Vec<Effect>) {
         let Some(s) = self.over(sess) else { return };
-        let waited = matches!(s.stage, Stage::Admit | Stage::Dial);
-        self.figures.of_listener(&s.listener).abandoned += u64::from(waited);
-        if s.standing.is_none() {
+        self.figures.of_listener(&s.listener).abandoned += u64::from(s.stage.waits());
+        if !s.standing {
             self.tell(Input::Left { sess }, out);
         }
     }
@@ -73,13 +72,12 @@
             returned: open.returned,
             left: left.min(most),
         };
-        let standing = open.at.is_some().then_some(asked);
-        let left = if standing.is_some() { left.min(self.node.limits.standing) } else { asked.left };
+        let standing = open.at.is_some();
+        let left = if standing { left.min(self.node.limits.standing) } else { asked.left };
         let due = self.now + left;
-        let name = Rc::from(open.listener.as_str());
         let s = Sess {
             id: open.id,
-            listener: name,
+            listener: Rc::from(open.listener),
             asked,
             stage: Stage::Admit,
             server: None,
@@ -95,7 +93,7 @@
         let full =
             self.shared.1 > 0 && self.sessions.len() as u32 + self.shared.1 > self.node.limits.sessions;
         if full || !self.takes() {
-            return self.refuse(sess, out);
+            return self.answer(sess, Effect::Refuse { sess, retry_after: 0 }, out);
         }
         out.push(Effect::Alarm { after: left, alarm: Alarm::Due(sess) });
         match open.at {
@@ -134,8 +132,13 @@
 
     /// The time of a session is up without an answer.
     pub(super) fn lapse(&mut self, sess: SessId, out: &mut Vec<Effect>) {
-        let theirs = self.sessions.get(&sess).is_some_and(|s| s.standing.is_none());
-        self.answer(sess, Effect::TearDown { sess }, out);
+        self.give_up(sess, Effect::TearDown { sess }, out);
+    }
+
+    /// The program's own answer to a session that waits; the module knows it, unless it is to stand again.
+    pub(super) fn give_up(&mut self, sess: SessId, answer: Effect, out: &mut Vec<Effect>) {
+        let theirs = self.sessions.get(&sess).is_some_and(|s| !s.standing);
+        self.answer(sess, answer, out);
         if theirs {
             self.tell(Input::Left { sess }, out);
         }
@@ -150,9 +153,10 @@
         s.stage = Stage::Pass;
         self.figures.of_listener(&s.listener).passed += 1;
         out.push(Effect::Pass { sess });
-        match (s.standing.take(), s.server) {
-            (Some(asked), Some(server)) => {
+        match (std::mem::take(&mut s.standing), s.server) {
+            (true, Some(server)) => {
                 s.dials = 1; // the module counts the dial that it never asked for as the first
+                let asked = s.asked;
                 self.tell(Input::AlreadyOpen { sess, server, asked }, out);
             }
             _ => self.tell(Input::Stands { sess, dial }, out),
@@ -170,7 +174,7 @@
     ) {
         let Some(s) = self.sessions.get_mut(&sess) else { return };
         s.stage = Stage::Admit;
-        if s.standing.is_some() {
+        if s.standing {
             // Often enough within the time that standing connections have, seldom enough for a full backend.
             const AGAIN: Micros = 200_000;
             let alarm = Alarm::Again(sess);
--- a/relay/src/reducer/watch.rs
+++ b/relay/src/reducer/watch.rs
@@ -1,5 +1,5 @@
 //! The watch on the list: asked for, renewed, moved by a new configuration.
-use super::{Effect, Reducer, Sess, Stage};
+use super::{Effect, Reducer};
 use hallrelay::types::{Input, ListKind};
 use hallrelay_config::list::List;
 use hallrelay_config::node::Node;
@@ -42,19 +42,18 @@
         self.ask_at(node.discovery, out);
     }
 
-    /// Takes over new settings. Who is here keeps the rules that it came under: its row of the module's listeners
-    /// is its own, and its dial timeout is in its due time.
+    /// Takes over new settings. Who is here keeps the rules that it came under: its row of the module's
+    /// listeners is its own, and its dial timeout is in its due time.
     fn tune(&mut self, node: &Node, out: &mut Vec<Effect>) {
-        let site = &node.site;
-        let Ok(limits) = self.node.limits_for(site) else { return };
-        if *site == self.node.site {
+        let zones = node.site.zones != self.node.site.zones;
+        if node.site == self.node.site || self.node.tune(node.site.clone()).is_err() {
             return;
         }
-        let zones = site.zones != self.node.site.zones;
+        let (site, limits) = (&self.node.site, Box::new(self.node.limits));
+        let (facts, order) = (Box::new(site.facts.clone()), site.report);
         self.figures.name(&site.listeners);
-        self.node.tune(site.clone(), limits);
-        self.tell(Input::Facts(Box::new(self.node.site.facts.clone())), out);
-        out.push(Effect::Tuned { limits: Box::new(limits), order: self.node.site.report });
+        self.tell(Input::Facts(facts), out);
+        out.push(Effect::Tuned { limits, order });
         if zones {
             // The same servers, at other places of the zones' list.
             let instances = self.servers.values().map(|v| v.told.clone()).collect();
@@ -81,8 +80,7 @@
 
     /// Guards discovery against a process that leaves: once nobody here waits for a place, nothing is asked.
     pub(super) fn unwatch(&mut self, out: &mut Vec<Effect>) {
-        let waits = |s: &Sess| matches!(s.stage, Stage::Admit | Stage::Dial);
-        if !self.sessions.values().any(waits) && std::mem::take(&mut self.watch.out) {
+        if !self.sessions.values().any(|s| s.stage.waits()) && std::mem::take(&mut self.watch.out) {
             let watches = [Some(self.watch.last), self.watch.before.take()];
             out.extend(watches.into_iter().flatten().map(|watch| Effect::Unwatch { watch }));
         }
--- a/relay/tests/common/mod.rs
+++ b/relay/tests/common/mod.rs
@@ -25,35 +25,47 @@
         _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder).expect("a folder");
         let listen = free();
-        let known: Vec<Value> = (0..2)
-            .map(|i| json!({"instanceId": format!("s-{i}"), "hostPort": backend().to_string(), "lifecycle": "up"}))
-            .collect();
-        let text = json!({"name": "n1", "listen": listen.to_string(), "discovery": free().to_string(),
-            "operator": free().to_string(), "seed": "07", "limits": {"sockets": 256},
-            "known": {"generation": 1, "reset": true, "instances": known},
-            "settings": {
-                "Listeners": [listener("low", 1.0, "retryable"), listener("once", 5.0, "fragile")],
-                "Ceilings": {"MayProbe": false, "MostDials": 4, "MaxOpen": 1000, "RetryAfter": false,
-                    "ConnectTimeout": 250},
-                "Rules": {"Cold": 10000, "ColdFrom": 0.2, "FallMultiple": 3, "DrainGrace": 250,
-                    "AskWithin": 10000},
-                "Charges": {"CrossZone": 0, "Moves": 0, "Probe": 0},
-                "FamilyInfo": {"Mode": "proxy", "Groups": false, "TellsDelay": false, "MessageAim": [60, 60]},
-                "Report": {"How": "on_probe", "Fields": ["inflight", "x0", "x1"]},
-                "Discovery": "subscribe", "FailureDomains": ["here"], "Zone": 0, "Instances": 1, "SlotNo": 0}});
+        let server = |i: i32| {
+            let place = backend().to_string();
+            json!({"instanceId": format!("s-{i}"), "hostPort": place, "lifecycle": "up"})
+        };
+        // The project's own example, with what differs here.
+        let text = include_str!("../../../deploy/example/relay.json");
+        let mut text: Value = serde_json::from_str(text).expect("the example is JSON");
+        text["listen"] = json!(listen.to_string());
+        text["discovery"] = json!(free().to_string());
+        text["limits"]["sockets"] = json!(256);
+        text["known"]["instances"] = json!([server(0), server(1)]);
+        text["settings"]["Listeners"] =
+            json!([listener("low", 1.0, "retryable"), listener("once", 5.0, "fragile")]);
+        // Backends here answer no probes.
+        text["settings"]["Ceilings"]["MayProbe"] = json!(false);
         Site { folder, listen, text }
     }
 
-    /// Starts a relay with the text as it is now; it reads the same file again at SIGHUP.
-    pub fn start(&self) -> Relay {
+    /// A relay that is ready, and the site that it serves.
+    pub fn served(name: &str) -> (Site, Relay) {
+        let mut site = Site::new(name);
+        let relay = site.start();
+        until("the relay is ready", || relay.ready());
+        (site, relay)
+    }
+
+    /// Starts a process with a second address of its own, beside those that run; it reads the same file again
+    /// at SIGHUP.
+    pub fn start(&mut self) -> Relay {
+        let operator = free();
+        self.text["operator"] = json!(operator.to_string());
         let path = self.folder.join(format!("{}.json", LAST_ID.fetch_add(1, Ordering::Relaxed)));
         std::fs::write(&path, self.text.to_string()).expect("a configuration");
         let mut command = Command::new(env!("CARGO_BIN_EXE_hallrelay"));
         command.arg("serve").arg("--config").arg(&path).env("TMPDIR", &self.folder);
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null());
-        let place = |key: &str| self.text[key].as_str().and_then(|t| t.parse().ok()).expect("an address");
+        for name in ["NODE_NAME", "NODE_LISTEN", "NODE_DISCOVERY", "NODE_OPERATOR"] {
+            command.env_remove(name);
+        }
         let child = command.spawn().expect("the relay starts");
-        Relay { child, path, operator: place("operator") }
+        Relay { child, path, operator }
     }
 }
 
--- a/relay/tests/cuts.rs
+++ b/relay/tests/cuts.rs
@@ -34,51 +34,41 @@
     }
 }
 
-#[test]
-fn every_cut_gives_what_the_whole_gives() {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    runtime.block_on(async {
-        for cut in 1..TEXT.len() {
-            let (mut writer, stream) = pair().await;
-            let (mut buffer, mut got, mut fresh) = (Buffer::new(8, 8192), Vec::new(), Vec::new());
-            for part in [&TEXT[..cut], &TEXT[cut..]] {
-                writer.write_all(part).expect("it goes");
-                let mut left = part.len();
-                while left > 0 {
-                    left -= buffer.fill(&stream).await.expect("bytes");
-                    fresh.extend_from_slice(buffer.fresh());
-                }
-                take_all(&mut buffer, &mut got);
+#[tokio::test]
+async fn every_cut_gives_what_the_whole_gives() {
+    for cut in 1..TEXT.len() {
+        let (mut writer, stream) = pair().await;
+        let (mut buffer, mut got, mut fresh) = (Buffer::new(8, 8192), Vec::new(), Vec::new());
+        for part in [&TEXT[..cut], &TEXT[cut..]] {
+            writer.write_all(part).expect("it goes");
+            let mut left = part.len();
+            while left > 0 {
+                left -= buffer.fill(&stream).await.expect("bytes");
+                fresh.extend_from_slice(buffer.fresh());
             }
-            assert_eq!(got, wanted(), "cut at {cut}");
-            // What was told to be new is every whole line once.
-            assert_eq!(
-                lines::whole(&fresh).map(<[u8]>::to_vec).collect::<Vec<_>>(),
-                wanted(),
-                "cut at {cut}"
-            );
-            assert_eq!(buffer.rest(), b"half");
+            take_all(&mut buffer, &mut got);
         }
-    });
+        assert_eq!(got, wanted(), "cut at {cut}");
+        // What was told to be new is every whole line once.
+        assert_eq!(lines::whole(&fresh).map(<[u8]>::to_vec).collect::<Vec<_>>(), wanted(), "cut at {cut}");
+        assert_eq!(buffer.rest(), b"half");
+    }
 }
 
-#[test]
-fn another_process_goes_on_at_any_byte() {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    runtime.block_on(async {
-        for cut in 0..TEXT.len() {
-            let (mut writer, stream) = pair().await;
-            let (mut first, mut got) = (Buffer::new(8, 8192), Vec::new());
-            writer.write_all(&TEXT[..cut]).expect("it goes");
-            fill(&mut first, &stream, cut).await;
-            let mut second = Buffer::holding(first.rest(), 8, 8192);
-            writer.write_all(&TEXT[cut..]).expect("it goes");
-            fill(&mut second, &stream, TEXT.len() - cut).await;
-            take_all(&mut second, &mut got);
-            assert_eq!(got, wanted(), "cut at {cut}");
-            assert_eq!(second.rest(), b"half");
-        }
-    });
+#[tokio::test]
+async fn another_process_goes_on_at_any_byte() {
+    for cut in 0..TEXT.len() {
+        let (mut writer, stream) = pair().await;
+        let (mut first, mut got) = (Buffer::new(8, 8192), Vec::new());
+        writer.write_all(&TEXT[..cut]).expect("it goes");
+        fill(&mut first, &stream, cut).await;
+        let mut second = Buffer::holding(first.rest(), 8, 8192);
+        writer.write_all(&TEXT[cut..]).expect("it goes");
+        fill(&mut second, &stream, TEXT.len() - cut).await;
+        take_all(&mut second, &mut got);
+        assert_eq!(got, wanted(), "cut at {cut}");
+        assert_eq!(second.rest(), b"half");
+    }
 }
 
 /// A part of a line is no line of its own: it is never taken for a session, an end or a figure.
--- a/relay/tests/operations.rs
+++ b/relay/tests/operations.rs
@@ -11,9 +11,7 @@
 
 #[test]
 fn the_second_address_answers_what_is_a_call_and_survives_what_is_none() {
-    let site = Site::new("calls");
-    let mut relay = site.start();
-    relay.until_ready();
+    let (_site, mut relay) = Site::served("calls");
     assert_eq!(relay.call("GET", "/v1/nothing").0, 404);
     let (status, answer) = relay.call("GET", "/v1/relay/drain");
     assert_eq!(status, 405);
@@ -38,9 +36,7 @@
 /// Guards good callers against those that hold their connections with no whole call.
 #[test]
 fn callers_that_say_nothing_whole_delay_nobody() {
-    let site = Site::new("slow-callers");
-    let relay = site.start();
-    relay.until_ready();
+    let (site, relay) = Site::served("slow-callers");
     let half = |i: usize| {
         let mut stream = TcpStream::connect(relay.operator).expect("it listens");
         let part: &[u8] = if i.is_multiple_of(2) { b"GET /v1/re" } else { b"" };
@@ -60,9 +56,7 @@
 
 #[test]
 fn a_drain_moves_everybody_and_a_second_call_ends_it() {
-    let site = Site::new("drain");
-    let relay = site.start();
-    relay.until_ready();
+    let (site, relay) = Site::served("drain");
     let mut clients: Vec<Client> =
         (0..5).map(|_| Client::open(site.listen, "low").expect("a session")).collect();
     assert!(clients.iter_mut().all(Client::echoes));
@@ -92,9 +86,7 @@
 
 #[test]
 fn files_read_at_sighup_are_counted_as_used_or_not() {
-    let site = Site::new("loads");
-    let relay = site.start();
-    relay.until_ready();
+    let (site, relay) = Site::served("loads");
     relay.signal("HUP");
     common::until("a sound file is a load", || relay.figure("loads") == Some(1));
     std::fs::write(&relay.path, "").expect("a file");
@@ -121,17 +113,14 @@
     (stop, clients)
 }
 
-/// Replacements in a row under load, a broken build among them: no connection is refused, reset or unread, and
-/// a session that is open all the while sees nothing of it, half a line of either side included.
+/// Replacements in a row under load, a broken build among them: no connection is refused, reset or unread,
+/// and a session that is open all the while sees nothing of it, half a line of its client's included.
 #[test]
 fn processes_follow_each_other_and_no_connection_is_lost() {
-    let mut site = Site::new("upgrades");
-    let mut old = site.start();
-    old.until_ready();
+    let (mut site, mut old) = Site::served("upgrades");
     let coming: Vec<_> = (0..3).map(|_| come_and_go(site.listen)).collect();
     let mut held = Client::open(site.listen, "low").expect("a session");
     for round in 0..4 {
-        site.text["operator"] = serde_json::json!(common::free().to_string());
         if round == 1 {
             // A build that ends at its start leaves the running process as it is.
             let good = site.text["seed"].take();
@@ -165,14 +154,10 @@
 
 #[test]
 fn a_new_process_that_dies_gives_the_place_back_and_a_third_is_refused() {
-    let mut site = Site::new("dies");
-    let mut old = site.start();
-    old.until_ready();
-    site.text["operator"] = serde_json::json!(common::free().to_string());
+    let (mut site, mut old) = Site::served("dies");
     let mut new = site.start();
     new.until_ready();
     // The old process is still there: a third one is told so and ends.
-    site.text["operator"] = serde_json::json!(common::free().to_string());
     let mut third = site.start();
     common::until("the third ends", || third.has_ended());
     assert!(new.ready());
@@ -189,9 +174,7 @@
 /// What a crash leaves behind is no process: the start is an ordinary one.
 #[test]
 fn a_socket_that_nobody_answers_at_is_replaced() {
-    let site = Site::new("stale");
-    let mut old = site.start();
-    old.until_ready();
+    let (mut site, mut old) = Site::served("stale");
     old.child.kill().expect("it lives");
     old.child.wait().expect("it ends");
     assert!(std::fs::read_dir(&site.folder)
@@ -206,9 +189,7 @@
 /// New settings under open sessions; what is wrong in a file keeps all of it from being used.
 #[test]
 fn settings_are_retuned_whole_or_not_at_all() {
-    let site = Site::new("retune");
-    let relay = site.start();
-    relay.until_ready();
+    let (site, relay) = Site::served("retune");
     let mut old = Client::open(site.listen, "low").expect("a session");
     let mut text = site.text.clone();
     text["settings"]["Listeners"] = serde_json::json!([
@@ -246,12 +227,10 @@
     assert_eq!(relay.figure("passed.low"), Some(6));
 }
 
-/// Guards clients that are slow among crowds that say nothing or stop half way, and the end that those are owed.
+/// Guards clients that are slow among crowds that say nothing or stop half way, and the end owed to those.
 #[test]
 fn a_line_that_comes_bit_by_bit_is_served_and_silence_is_not() {
-    let site = Site::new("slow-lines");
-    let relay = site.start();
-    relay.until_ready();
+    let (site, _relay) = Site::served("slow-lines");
     let begun = Instant::now();
     let mut silent = Client::connect(site.listen).expect("it listens");
     let mut half = Client::connect(site.listen).expect("it listens");
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -201,7 +201,7 @@
         !v.entry.ready() || v.misses > 0 || v.flow.faulty(now, 2.0, 0.25)
     }
 
-    /// What goes on with the process that takes this one's place: the two are one relay, and share one budget.
+    /// What goes on with the process that takes this one's place: the two are one relay, with one budget.
     pub fn memory(&self, now: Micros) -> (f64, Vec<Memory>) {
         let one = |(&server, v): (&ServerId, &Server)| {
             let report = Report { load: Some(v.load), piled: Some(v.piled), held: Some(v.held) };
@@ -360,7 +360,7 @@
     /// Read from the servers with fresh answers, as a sample of all that are ready and not silent.
     fn gauge(&mut self) -> Gauge {
         const USABLE: f64 = 0.85; // how C is read: what fills before messages are late; tried 0.7, 0.85, 1
-        const FEW: u32 = 16; // own sessions, of which chance is a quarter; with more theirs are the steadier figure
+        const FEW: u32 = 16; // own sessions, of which chance is a quarter; with more these are steadier
         const PRIOR: f64 = 8.0; // sessions that the last figure counts for, beside those that servers hold
         const ROOM: f64 = 0.6; // a load that leaves the others room for a late one's; always and never tried
                                // Read again with each answer; in between, what is let in is booked at once.
@@ -371,7 +371,7 @@
         for v in self.servers.values().filter(|v| v.entry.ready() && v.misses == 0) {
             let warmth = self.warmth(v);
             all += warmth;
-            // Guards relays of few sessions: a server known by a late message alone is no sample of the others.
+            // Guards relays of few sessions: a server known by a late message alone is no sample of others.
             let Some(heard) = v.heard else {
                 own += warmth * f64::from(self.piled(v) > self.bar);
                 continue;
@@ -392,8 +392,8 @@
         if k > 0.0 {
             (g.c, g.mean, g.x_cong) = (USABLE * all, load / k, cong / k * (all - own) + own);
             g.age = (age / k) as Micros;
-            // Guards relays of few sessions each, whose own are a useless sample: servers tell what they hold.
-            // Else a running mean over some seconds: in dial storms or on emptied servers a moment's is useless.
+            // Guards relays of few sessions each, whose own are no good sample: servers tell what they hold.
+            // Else a running mean over seconds: in dial storms or on emptied servers a moment's is useless.
             let open = f64::from(self.n) * f64::from(self.site.relays);
             let step = (asked / k * all / open.max(1.0)).clamp(0.002, 0.05);
             g.step = match held > 0.0 && self.n < FEW {
@@ -491,8 +491,8 @@
         self.warmth(v) >= 1.0 || (self.now - v.turn.0) as f64 >= v.turn.1 * self.pause(v, g)
     }
 
-    /// Whether an open turn here counts past the thresholds. Where turns come every second or two these cost one
-    /// at most, and decide as ever.
+    /// Whether an open turn here counts past the thresholds. Where turns come every second or two these cost
+    /// one at most, and decide as ever.
     fn rare_turn(&self, v: &Server, s: &Sess, g: &Gauge) -> bool {
         let rare = self.warmth(v) < 1.0 && self.pause(v, g) > (4 * LAG) as f64;
         rare && self.tier(v, &s.tried) == 0 && self.load_now(v, g) < FULL
@@ -501,9 +501,9 @@
     /// The time from one of this relay's turns at a cold server to the next.
     fn pause(&self, v: &Server, g: &Gauge) -> f64 {
         // What a server holds when full, taken in over a whole warm-up, is shared by the relays. Few have a
-        // session for it just then, the fewer the more share it: with 1.4 for one relay hunts for broken rules
-        // met at most two thirds of the limit. For a hundred this is 4: 5.6 kept the rule on 16 days, at three
-        // quarters of the least at which one fell, and 11.2 broke it on one of 16.
+        // session for it just then, the fewer the more share it: with 1.4 for one relay hunts for broken
+        // rules met at most two thirds of the limit. For a hundred this is 4: 5.6 kept the rule on 16 days,
+        // at three quarters of the least at which one fell, and 11.2 broke it on one of 16.
         let others = f64::from(self.site.relays - 1);
         let overbook = 1.4 + 3.6 * others / (others + 40.0);
         let each = self.site.cold as f64 * g.step * f64::from(self.site.relays) / overbook;
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -1,15 +1,19 @@
 //! What relay scenarios are played against.
 //! `Program` is the reducer without sockets. Backends are named as in the list; a site line may say
-//! `known=NAME,NAME` for the list that the relay starts with, `after` that another process has its place, `told` where the list comes unasked, `probes`.
+//! `known=NAME,NAME` for the list that the relay starts with, `after` that another process has its place,
+//! `told` where the list comes unasked, `probes`.
 //! Inputs, each with `stalled` behind it where no alarm could go off before it:
-//!   `came FIRST..LAST`, `part FIRST..LAST`, `ping CONN`, `odd CONN`, `ask SESS LISTENER [wait=MS] [at=NAME] [mark=ID]`,
+//!   `came FIRST..LAST`, `part FIRST..LAST`, `ping CONN`, `odd CONN`,
+//!   `ask SESS LISTENER [wait=MS] [at=NAME] [mark=ID]`,
 //!   `gone SESS`, `up SESS DIAL`, `fell SESS DIAL HOW`, `ended SESS HOW`, `took SESS MS`, `load SESS X`,
-//!   `written SESS`, `unfit`, `peer NUMBER hello|ready|yours|left`, `passed SESS`,
+//!   `written`, `unfit`, `peer NUMBER hello|ready|yours|left`, `passed SESS`,
 //!   `stays SESS`, `inherits SESS LISTENER SERVER`, `call NUMBER ready|figures|drain|activate`,
 //!   `list full|changes VERSION NAME[:draining|:gone] ..`,
-//!   `list broken` (of the newest watch, or of=WATCH), `reload PORT [KEY=VALUE]`, `retune LISTENER:EFFECT .. [dials=N]`,
+//!   `list broken` (of the newest watch, or of=WATCH), `reload PORT [KEY=VALUE]`,
+//!   `retune LISTENER:EFFECT .. [dials=N]`,
 //!   `probe NAME HOW|load=X [piled=X]`, `stop`, `run`. `first LINE` and `said LINE` show what a parser makes
-//!   of a line, `node KEY..` what is said where that key of the configuration is missing, or `=VALUE` behind it.
+//!   of a line, `node KEY..` what is said where that key of the configuration is missing, or is as `=VALUE`
+//!   behind it says.
 //! `Loopback` is the program on sockets of 127.0.0.1. A line is `WHO DEED [TEXT]`: letters are clients,
 //! digits are backends (`1` and `2`, known from the start), `list` is discovery and `moved` where it may move
 //! to, a star is anything. Deeds:
@@ -24,7 +28,7 @@
 use hallrelay_config::node::{self, Node, Told};
 use hallrelay_handover::message::VERSION;
 use hallrelay_handover::place::Event as Place;
-use hallrelay_handover::{Message, Open, Session, State};
+use hallrelay_handover::{Message, Session, State};
 use hallrelay_relay::lines;
 use hallrelay_relay::reducer::{Call, Effect, Event, Reducer, Reply};
 use serde_json::{json, Value};
@@ -168,9 +172,7 @@
                     "ready" => Message::Ready {},
                     "yours" => {
                         let draining = option(words, "draining").map(millis).transpose()?;
-                        let open =
-                            option(words, "mark").map(|mark| Ok::<_, Fault>(Open { mark: num(mark)? }));
-                        let open = Vec::from_iter(open.transpose()?);
+                        let open = Vec::from_iter(option(words, "mark").map(num).transpose()?);
                         let connections = open.len() as u32;
                         Message::Yours(Box::new(State {
                             step: 0.02,
@@ -184,7 +186,7 @@
                 };
                 Event::Place(Place::Said { peer, message })
             }
-            "written" => Event::Written { sess: sess()? },
+            "written" => Event::Written,
             "call" => Event::Called { call: num(at(1)?)?, what: call(at(2)?)? },
             "came" => return Ok(range(at(1)?)?.map(|conn| Event::Came { conn }).collect()),
             "odd" => Event::Odd { conn: sess()? },
