Relays know each other: membership after SWIM and Lifeguard, fleet status

Need: a relay knew of the others only a configured number, and recovery and agreed drains of the fleet are to stand on more.

Change: package fleet/ (no I/O, no clock) holds members as alive, suspect, gone or left by start and incarnation; probes each once a round, asks three others before it doubts, doubts itself first where it was late. net/fleet.rs has one UDP socket and streams at the same port; the reducer has membership as a part; GET /v1/fleet and hallrelay fleet status tell it. Off unless fleet is configured. The module is told nothing of it.

--- a/config/src/lib.rs
+++ b/config/src/lib.rs
@@ -1,6 +1,7 @@
 //! The one place where configuration is read, checked and given its defaults. Every complaint names its key.
 mod at;
 pub mod facts;
+pub mod fleet;
 pub mod limits;
 pub mod list;
 pub mod node;
--- a/config/src/limits.rs
+++ b/config/src/limits.rs
@@ -68,6 +68,10 @@
     pub offer: Micros,
     /// Messages and sessions on their way to another process.
     pub passing: usize,
+    /// Streams of other relays at once, the time that one may take, and datagrams that are read in a second.
+    pub fleet_streams: usize,
+    pub fleet_stream: Micros,
+    pub fleet_datagrams: u32,
 }
 
 const MS: Micros = 1000;
@@ -81,9 +85,13 @@
     const CALLERS: usize = 16;
     /// The door for another process, and who stands there.
     const DOOR: usize = 5;
+    /// Streams of other relays, each way.
+    const FLEET_STREAMS: usize = 8;
 
-    pub fn new(site: &Site, sockets: usize, operator: bool) -> Result<Limits, String> {
+    pub fn new(site: &Site, sockets: usize, operator: bool, fleet: bool) -> Result<Limits, String> {
         let own = Self::OWN_SOCKETS + usize::from(operator) * (Self::CALLERS + 1 + Self::DOOR);
+        // Two sockets that listen, beside the streams.
+        let own = own + usize::from(fleet) * (2 * Self::FLEET_STREAMS + 2);
         let left = sockets.saturating_sub(own + sockets / Self::PROBE_PART);
         if left < 4 {
             return Err(format!("limits.sockets is {sockets}, wanted {} at least", own * 2));
@@ -151,6 +159,11 @@
             visitors: 3,
             // Those beyond wait in their tasks.
             passing: 64,
+            fleet_streams: Self::FLEET_STREAMS,
+            // A table is some packets; a peer that stalls costs no more than this.
+            fleet_stream: 2_000 * MS,
+            // Some 40 a second come of 300 relays, ten times that while half of them return.
+            fleet_datagrams: 5_000,
             // It is one message within one machine; operators give a new process 6 s in all.
             offer: 2_000 * MS,
             // The next process is there for whoever is moved: nothing is gained by waiting.
--- a/config/src/node.rs
+++ b/config/src/node.rs
@@ -1,6 +1,7 @@
 //! What one relay is told at its start: its addresses, limits, settings and the list as it last had it.
 use crate::at::At;
 use crate::facts::{self, Site};
+use crate::fleet::{self, Fleet};
 use crate::limits::Limits;
 use crate::list::{self, List};
 use serde_json::Value;
@@ -13,6 +14,10 @@
     pub discovery: SocketAddr,
     /// Where operators' calls come; none where nobody calls.
     pub operator: Option<SocketAddr>,
+    /// The other relays; none where this one is to know of none.
+    pub fleet: Option<Fleet>,
+    /// Of the settings: the same where these are.
+    pub digest: u32,
     pub seed: u64,
     pub site: Site,
     pub known: List,
@@ -42,6 +47,10 @@
     /// old, and the seed is that of the start.
     pub fn fixed(&self, later: &Node) -> Vec<&'static str> {
         let (own, new) = (&self.site.facts, &later.site.facts);
+        let fleet = match (&self.fleet, &later.fleet) {
+            (Some(own), Some(new)) => own.fixed(new).to_vec(),
+            (own, new) => vec![("fleet", own.is_some() != new.is_some())],
+        };
         let keys = [
             ("name", self.name != later.name),
             ("listen", self.listen != later.listen),
@@ -50,21 +59,22 @@
             ("settings.Discovery", own.must_watch != new.must_watch),
             ("settings.SlotNo", (own.slot, own.zone) != (new.slot, new.zone)),
         ];
-        keys.into_iter().filter(|key| key.1).map(|key| key.0).collect()
+        keys.into_iter().chain(fleet).filter(|key| key.1).map(|key| key.0).collect()
     }
 
     /// Takes over other settings, but for what can't change while the program runs.
     pub fn tune(&mut self, mut site: Site) -> Result<(), String> {
         let (own, new) = (&self.site.facts, &mut site.facts);
         (new.must_watch, new.slot, new.zone) = (own.must_watch, own.slot, own.zone);
-        (self.site, self.limits) = fitting(site, self.sockets, self.operator.is_some())?;
+        (self.site, self.limits) =
+            fitting(site, self.sockets, self.operator.is_some(), self.fleet.is_some())?;
         Ok(())
     }
 }
 
 /// The limits under some settings, and these within them.
-fn fitting(mut site: Site, sockets: usize, operator: bool) -> Result<(Site, Limits), String> {
-    let limits = Limits::new(&site, sockets, operator)?;
+fn fitting(mut site: Site, sockets: usize, operator: bool, fleet: bool) -> Result<(Site, Limits), String> {
+    let limits = Limits::new(&site, sockets, operator, fleet)?;
     // C_ID of the design: no more sessions than this machine has descriptors for.
     site.facts.max_open = site.facts.max_open.min(limits.sessions);
     Ok((site, limits))
@@ -113,12 +123,16 @@
     let settings = top.key("settings")?;
     let site = facts::decode(&settings)?;
     over_0(&settings)?;
-    let (site, limits) = fitting(site, sockets, operator.is_some())?;
+    let name = said("name", &told.name)?;
+    let fleet = fleet::decode(&top, &name)?;
+    let (site, limits) = fitting(site, sockets, operator.is_some(), fleet.is_some())?;
     Ok(Node {
-        name: said("name", &told.name)?,
+        name,
         listen: addr("listen", &told.listen)?,
         discovery: addr("discovery", &told.discovery)?,
         operator,
+        fleet,
+        digest: fleet::digest(settings.value),
         seed: seed(top.key("seed")?)?,
         known: top.option("known").map_or(Ok(List::default()), |at| list::decode(&at))?,
         site,
--- a/handover/src/message.rs
+++ b/handover/src/message.rs
@@ -44,6 +44,9 @@
     /// The marks of the sessions that it keeps.
     pub open: Vec<u64>,
     pub connections: u32,
+    /// What it knows of the other relays, in the words of their own messages; none where it knows of none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub fleet: Option<Vec<u8>>,
 }
 
 /// An open session: what the new process needs to go on between two bytes.
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -159,7 +159,7 @@
 
 fn run(what: What) -> Result<End, String> {
     match what {
-        What::Relay(line) => hallrelay_relay::cli::run(line.what).map(|()| End::Well),
+        What::Relay(line) => hallrelay_relay::cli::run(line.what).map(|_| End::Well),
         What::Check { scenario } => {
             let s = load(Some(&scenario))?;
             println!(
--- a/lab/src/virt.rs
+++ b/lab/src/virt.rs
@@ -603,7 +603,7 @@
                 Effect::Unwatch { watch } => self.relays[relay].watches.retain(|w| w.id != watch),
                 Effect::Exit => self.exits(relay),
                 Effect::Pong { .. } | Effect::Deny { .. } | Effect::Reply { .. } => {}
-                Effect::Forget { .. } | Effect::Kept { .. } | Effect::Tuned { .. } => {}
+                Effect::Fleet(_) | Effect::Forget { .. } | Effect::Kept { .. } | Effect::Tuned { .. } => {}
                 // A virtual relay is one process all its life, and nobody waits at its socket.
                 Effect::Accept { .. } | Effect::Door { .. } | Effect::Note { .. } => {}
                 Effect::Tell { .. } | Effect::Part { .. } | Effect::PassOn { .. } | Effect::GiveUp { .. } => {
--- a/relay/src/cli.rs
+++ b/relay/src/cli.rs
@@ -1,8 +1,11 @@
 //! The command line, for `hallrelay` itself and for programs that start a relay of their own.
 use crate::net::serve;
+use crate::status;
 use clap::{Parser, Subcommand};
+use hallrelay_config::fleet::Fleet;
 use hallrelay_config::node::{self, Node, Told};
 use slog::{o, Drain};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 /// A balancer for long-lived connections over a fleet of backends.
@@ -28,10 +31,28 @@
         #[command(flatten)]
         given: Given,
     },
+    /// Ask a relay about the fleet that it belongs to.
+    Fleet {
+        #[command(subcommand)]
+        what: FleetWhat,
+    },
     /// Print the version.
     Version,
 }
 
+#[derive(Subcommand)]
+pub enum FleetWhat {
+    /// Each relay as the asked one knows it. Exit 0: whole; 1: parts are missing; 2: no answer.
+    Status {
+        /// The asked relay's second address (`operator` of its configuration).
+        #[arg(long, env = "NODE_OPERATOR")]
+        at: SocketAddr,
+        /// The whole answer as JSON.
+        #[arg(long)]
+        json: bool,
+    },
+}
+
 #[derive(clap::Args)]
 pub struct Given {
     /// The relay's configuration, JSON.
@@ -68,9 +89,24 @@
     }
 }
 
-/// Does what the command line asks for, to its end.
-pub fn run(what: What) -> Result<(), String> {
+/// Does what the command line asks for, to its end; the exit status where all went as it should.
+pub fn run(what: What) -> Result<u8, String> {
     match what {
+        What::Fleet { what: FleetWhat::Status { at, json } } => {
+            let status = match status::ask(at) {
+                Ok(status) => status,
+                Err(why) => {
+                    eprintln!("hallrelay: {why}");
+                    return Ok(2);
+                }
+            };
+            if json {
+                println!("{}", serde_json::to_string_pretty(&status).map_err(|e| e.to_string())?);
+            } else {
+                print!("{}", status::text(&status));
+            }
+            return Ok(u8::from(!status.is_whole()));
+        }
         What::Version => println!("hallrelay {}", env!("CARGO_PKG_VERSION")),
         What::Check { given } => {
             let node = given.read(&given.told())?;
@@ -80,6 +116,13 @@
                 Some(place) => println!("operators call at {place}"),
                 None => println!("operators have nowhere to call: operator is not given"),
             }
+            if let Some(fleet) = &node.fleet {
+                let Fleet { name, listen, advertise, peers } = fleet;
+                println!(
+                    "fleet {name} on {listen}, reached at {advertise}, {} addresses of others",
+                    peers.len()
+                );
+            }
             println!("listeners {:?}, zones {:?}", site.listeners, site.zones);
             println!("{} backends known, list version {}", known.instances.len(), known.generation);
             println!("{:#?}", node.limits);
@@ -107,5 +150,5 @@
             served.map_err(|e| format!("cannot serve: {e}"))?;
         }
     }
-    Ok(())
+    Ok(0)
 }
--- a/relay/src/figures.rs
+++ b/relay/src/figures.rs
@@ -1,6 +1,7 @@
 //! Figures in the words and the form that operators read: a line each, `NAME:VALUE|KIND`.
 use crate::lines::plain;
 use crate::reducer::Figures;
+use hallrelay_fleet::State;
 use std::fmt::Write;
 
 pub fn text(figures: &Figures) -> String {
@@ -17,5 +18,26 @@
     line("in_progress", figures.in_progress as u64, 'g');
     line("known_backends", figures.known as u64, 'g');
     line("skipped_backends", figures.avoided as u64, 'g');
+    if let Some(fleet) = &figures.fleet {
+        let c = &fleet.counts;
+        for (state, n) in State::ALL.iter().zip(fleet.states) {
+            line(&format!("fleet_{}", state.word()), n as u64, 'g');
+        }
+        line("fleet_heard_relays", fleet.hears as u64, 'g');
+        let counts = [
+            ("sent", c.sent),
+            ("sent_bytes", c.sent_bytes),
+            ("heard", c.heard),
+            ("probes", c.probes),
+            ("accused", c.accused),
+            ("buried", c.buried),
+            ("refuted", c.refuted),
+            ("late", c.late),
+        ];
+        counts.iter().for_each(|(name, value)| line(&format!("fleet_{name}"), *value, 'c'));
+        for (what, n) in &c.dropped {
+            line(&format!("fleet_dropped.{}", what.word()), *n, 'c');
+        }
+    }
     text
 }
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod lines;
 pub mod net;
 pub mod reducer;
+pub mod status;
--- a/relay/src/main.rs
+++ b/relay/src/main.rs
@@ -5,7 +5,7 @@
 
 fn main() -> ExitCode {
     match run(Line::parse().what) {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(status) => ExitCode::from(status),
         Err(what) => {
             eprintln!("hallrelay: {what}");
             ExitCode::FAILURE
--- a/relay/src/net/mod.rs
+++ b/relay/src/net/mod.rs
@@ -6,6 +6,7 @@
 mod discovery;
 mod end;
 mod first_line;
+mod fleet;
 mod handover;
 mod operator;
 mod pass;
--- a/relay/src/net/operator.rs
+++ b/relay/src/net/operator.rs
@@ -22,9 +22,10 @@
 pub(super) type Calls = mpsc::Sender<(Call, oneshot::Sender<Reply>)>;
 
 /// Path, method, and what it asks for.
-const CALLS: [(&str, &str, Call); 4] = [
+const CALLS: [(&str, &str, Call); 5] = [
     ("/v1/readyz", "GET", Call::Ready),
     ("/v1/metrics", "GET", Call::Figures),
+    ("/v1/fleet", "GET", Call::Fleet),
     ("/v1/relay/drain", "POST", Call::Drain),
     ("/v1/relay/activate", "POST", Call::Activate),
 ];
@@ -92,6 +93,15 @@
             no
         }
         Ok(Reply::Conflict(word)) => say(StatusCode::CONFLICT, word),
+        Ok(Reply::Fleet(None)) => say(StatusCode::NOT_FOUND, "fleet is not configured here"),
+        Ok(Reply::Fleet(Some(status))) => match serde_json::to_string(&status) {
+            Ok(text) => {
+                let mut answer = say(StatusCode::OK, text);
+                answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+                answer
+            }
+            Err(_) => say(StatusCode::INTERNAL_SERVER_ERROR, "the status can't be written"),
+        },
         Ok(Reply::Figures(figures)) => say(StatusCode::OK, figures::text(&figures)),
         Err(_) => say(StatusCode::SERVICE_UNAVAILABLE, "stopping"),
     }
--- a/relay/src/net/serve.rs
+++ b/relay/src/net/serve.rs
@@ -1,10 +1,11 @@
 //! Runs the relay: events go to the reducer in order of arrival, its effects to the tasks.
-use super::{accept, discovery, handover, operator, probe, stop, Command, Hub};
+use super::{accept, discovery, fleet, handover, operator, probe, stop, Command, Hub};
 use crate::clock::Clock;
 use crate::lines;
 use crate::reducer::{Alarm, Call, Effect, Event, Reducer, Reply};
 use hallrelay::types::{Micros, ServerId};
 use hallrelay_config::node::Node;
+use hallrelay_fleet::Effect as Told;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -28,6 +29,7 @@
     /// Whether connections are taken here; other processes, and where they come.
     taking: watch::Sender<bool>,
     door: Option<Door>,
+    links: Option<fleet::Links>,
     exit: Option<std::io::Result<()>>,
 }
 
@@ -76,6 +78,14 @@
         let listener = listen(place, limits.callers as u32)?;
         tokio::task::spawn_local(operator::run(listener, to_calls, hub.clone()));
     }
+    let links = match &node.fleet {
+        None => None,
+        // The process before this one has the port till it gives its place.
+        Some(told) if before.is_some() => Some(fleet::Links::new(told.clone(), None, hub.clone())),
+        Some(told) => {
+            Some(fleet::Links::new(told.clone(), Some(fleet::bind(told.listen).await?), hub.clone()))
+        }
+    };
     slog::info!(log, "serving"; "name" => &node.name, "listen" => %node.listen, "limits" => ?limits);
 
     let (taking, taken) = watch::channel(false);
@@ -88,6 +98,7 @@
         calls: BTreeMap::new(),
         taking,
         door: door.map(|path| Door { path, listener: listener.clone(), wait: None }),
+        links,
         exit: None,
     };
     tokio::task::spawn_local(accept::run(listener, taken, hub.clone()));
@@ -127,7 +138,7 @@
     TcpListener::from_std(listener)
 }
 
-fn listen(place: SocketAddr, backlog: u32) -> std::io::Result<TcpListener> {
+pub(super) fn listen(place: SocketAddr, backlog: u32) -> std::io::Result<TcpListener> {
     let named = |e: std::io::Error| std::io::Error::new(e.kind(), format!("{place}: {e}"));
     let socket = if place.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.set_reuseaddr(true)?;
@@ -213,6 +224,17 @@
                     // The path is the other process's to take.
                     self.door.as_mut().and_then(|door| door.wait.take()).inspect(AbortHandle::abort);
                 }
+                Effect::Fleet(effect) => {
+                    let Some(links) = &mut self.links else { continue };
+                    match effect {
+                        Told::Open { on } => links.open(on),
+                        Told::Send { to, bytes } => links.send(to, &bytes),
+                        Told::Visit { to, bytes } => links.visit(to, bytes),
+                        Told::Answer { stream, bytes } => links.answer(stream, bytes),
+                        // These are the reducer's own by now.
+                        Told::Alarm { .. } | Told::Note { .. } => {}
+                    }
+                }
                 Effect::Note { what } => slog::info!(self.hub.log, "{}", what),
                 Effect::GiveUp { why } => {
                     let why = format!("the running process keeps its place: {why}");
--- a/relay/src/reducer/duty.rs
+++ b/relay/src/reducer/duty.rs
@@ -130,6 +130,9 @@
             Resume => self.pong(out),
             Nothing | Refuse => {}
         }
+        if from != next {
+            self.tell_fleet(out);
+        }
         act
     }
 
@@ -146,6 +149,7 @@
 
     pub(super) fn called(&mut self, what: Call, out: &mut Vec<Effect>) -> Reply {
         let act = match what {
+            Call::Fleet => return Reply::Fleet(self.fleet_status()),
             Call::Figures => return Reply::Figures(Box::new(self.figures())),
             Call::Ready => Nothing,
             Call::Drain => self.turn(Sign::Drain, out),
@@ -194,6 +198,7 @@
             // Last lines go out before it leaves; who is no session is not waited for much longer than those.
             let empty = self.sessions.is_empty() && (self.aside.is_empty() || since >= limits.stop_end);
             if empty && (since >= limits.stop_least || self.duty == Leaving) {
+                self.leave_fleet(out);
                 return out.push(Effect::Exit);
             }
         }
--- a/relay/src/reducer/figures.rs
+++ b/relay/src/reducer/figures.rs
@@ -1,5 +1,5 @@
 //! What operators are told in numbers: counted where the state changes, read as a whole.
-use super::Reducer;
+use super::{FleetFigures, Reducer};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -29,6 +29,8 @@
     pub waiting: usize,
     pub known: usize,
     pub avoided: usize,
+    /// Of the other relays; none where this one is told of none.
+    pub fleet: Option<Box<FleetFigures>>,
 }
 
 impl Figures {
@@ -59,6 +61,7 @@
             waiting: self.sessions.values().filter(|s| s.stage.waits()).count(),
             known: listed.clone().count(),
             avoided: listed.filter(|(&server, _)| self.module.avoids(self.now, server)).count(),
+            fleet: self.fleet_figures(),
             ..self.figures.clone()
         }
     }
--- a/relay/src/reducer/mod.rs
+++ b/relay/src/reducer/mod.rs
@@ -3,6 +3,7 @@
 //! carry out. It reads no clock and no socket, and decides nothing that the module decides.
 mod duty;
 mod figures;
+mod fleet;
 mod place;
 mod servers;
 mod sessions;
@@ -10,6 +11,7 @@
 
 pub use duty::Word;
 pub use figures::{Figures, Outcomes};
+pub use fleet::FleetFigures;
 
 use crate::lines::Open;
 use duty::{Duty, Sign};
@@ -19,6 +21,8 @@
 use hallrelay_config::limits::Limits;
 use hallrelay_config::list::{Instance, List};
 use hallrelay_config::node::Node;
+use hallrelay_fleet::status::Status;
+use hallrelay_fleet::Membership;
 use hallrelay_handover::place::{self as handover, Peer, Place};
 use hallrelay_handover::{Message, Session};
 use std::collections::{BTreeMap, HashSet, VecDeque};
@@ -30,6 +34,7 @@
 pub enum Call {
     Ready,
     Figures,
+    Fleet,
     Drain,
     Activate,
 }
@@ -42,6 +47,8 @@
     /// What was asked for can't be, as things stand.
     Conflict(Word),
     Figures(Box<Figures>),
+    /// What this relay believes of its fleet; none where it is told of none.
+    Fleet(Option<Box<Status>>),
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -134,6 +141,8 @@
     },
     /// Something came from the process before or after this one.
     Place(handover::Event),
+    /// Something came from another relay.
+    Fleet(hallrelay_fleet::Event),
     Alarm(Alarm),
     Stop,
 }
@@ -151,6 +160,8 @@
     Offered(Peer),
     /// The process that took this one's place is told what is held here still.
     Holding,
+    /// Something of membership is due.
+    Fleet,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -242,6 +253,8 @@
     Door {
         open: bool,
     },
+    /// What goes to other relays.
+    Fleet(hallrelay_fleet::Effect),
     Note {
         what: String,
     },
@@ -349,6 +362,7 @@
     owed: usize,
     figures: Figures,
     place: Place,
+    fleet: Option<Membership>,
     /// What the process before this one holds still: connections, and sessions among them.
     shared: (usize, u32),
     /// Marks of sessions there.
@@ -368,6 +382,7 @@
             held: (0, 0),
             module: Relay::new(node.site.facts.clone(), node.seed),
             figures: Figures::of(&node.site.listeners),
+            fleet: None,
             node,
             now: 0,
             sessions: BTreeMap::new(),
@@ -390,6 +405,7 @@
     pub fn start(&mut self, now: Micros, out: &mut Vec<Effect>) {
         let known = List { whole: true, ..self.node.known.clone() };
         (self.now, self.generation) = (now, Some(known.generation));
+        self.fleet = fleet::membership(&self.node, now);
         self.list(known, out);
         // Where the module counts on being told unasked, the watch that tells it is the program's own.
         if !self.node.site.facts.must_watch {
@@ -445,6 +461,7 @@
             Event::Stays { sess } => self.stays(sess),
             Event::Inherited { sess, session } => self.inherited(sess, *session, out),
             Event::Place(event) => self.placed(event, out),
+            Event::Fleet(event) => self.fleet(event, out),
             Event::Alarm(alarm) => self.alarm(alarm, out),
             Event::Stop => _ = self.turn(Sign::Stop, out),
             // Of a dial or a session that is over.
@@ -503,6 +520,7 @@
             Alarm::Emptying(_) => {}
             Alarm::Offered(peer) => self.placed(handover::Event::Due { peer }, out),
             Alarm::Holding => self.holding(out),
+            Alarm::Fleet => self.fleet_alarm(out),
         }
     }
 }
--- a/relay/src/reducer/place.rs
+++ b/relay/src/reducer/place.rs
@@ -4,6 +4,8 @@
 use super::{Alarm, Effect, Reducer, Sess, Stage};
 use hallrelay::types::{Asked, Input, Memory, Micros, Phase, Report, SessId};
 use hallrelay_config::list::{self, List};
+use hallrelay_fleet::membership::Event as Fleet;
+use hallrelay_fleet::Membership;
 use hallrelay_handover::place::{Act, Event as Heard, Peer, PATIENCE};
 use hallrelay_handover::{Message, Server, Session, State};
 
@@ -16,6 +18,8 @@
             None => {
                 out.push(Effect::Accept { on: true });
                 out.push(Effect::Door { open: true });
+                self.tell_fleet(out);
+                self.fleet(Fleet::Begin, out);
             }
         }
     }
@@ -34,6 +38,7 @@
                 Act::Return => {
                     note("the new process died, and this one takes connections again", out);
                     self.turn(Sign::Return, out);
+                    self.fleet(Fleet::Begin, out);
                     out.push(Effect::Door { open: true });
                 }
                 Act::Take(state) => self.take_over(state, out),
@@ -56,6 +61,8 @@
         note("another process has this one's place", out);
         out.push(Effect::Door { open: false });
         self.turn(Sign::Yield, out);
+        // One process speaks for the relay: this one is still before the other can begin.
+        self.fleet(Fleet::Yield, out);
         out.push(Effect::Tell { peer, message: Message::Yours(state) });
         let open: Vec<SessId> = self.sessions.keys().copied().collect();
         open.into_iter().for_each(|sess| self.pass_on(sess, out));
@@ -136,6 +143,7 @@
             draining: self.draining().map(|since| self.now - since),
             open: self.sessions.values().map(|s| s.id).collect(),
             connections: (self.sessions.len() + self.aside.len()) as u32,
+            fleet: self.fleet.as_ref().map(Membership::estate),
         }
     }
 
@@ -143,6 +151,7 @@
         let Some(state) = state else {
             note("the process before this one died as it was to be replaced", out);
             self.turn(Sign::Take, out);
+            self.fleet(Fleet::Begin, out);
             return out.push(Effect::Door { open: true });
         };
         note("this process has the place of the one before it", out);
@@ -161,6 +170,9 @@
         };
         let servers = state.servers.into_iter().filter_map(memory).collect();
         self.tell(Input::Remember { step: state.step, servers }, out);
+        if let (Some(fleet), Some(known)) = (&mut self.fleet, &state.fleet) {
+            fleet.inherit(self.now, known);
+        }
         self.their_marks = state.open.into_iter().collect();
         match state.draining {
             None => _ = self.turn(Sign::Take, out),
@@ -169,6 +181,7 @@
                 self.since = self.now.saturating_sub(ago);
             }
         }
+        self.fleet(Fleet::Begin, out);
         out.push(Effect::Door { open: true });
     }
 
--- a/relay/src/reducer/watch.rs
+++ b/relay/src/reducer/watch.rs
@@ -3,6 +3,7 @@
 use hallrelay::types::{Input, ListKind};
 use hallrelay_config::list::List;
 use hallrelay_config::node::Node;
+use hallrelay_fleet::membership::Event as Fleet;
 use std::net::SocketAddr;
 
 impl Reducer {
@@ -39,6 +40,13 @@
     pub(super) fn reload(&mut self, node: Node, out: &mut Vec<Effect>) {
         out.extend(self.node.fixed(&node).into_iter().map(|key| Effect::Kept { key }));
         self.tune(&node, out);
+        if let (Some(own), Some(new)) = (&mut self.node.fleet, &node.fleet) {
+            if own.peers != new.peers {
+                own.peers.clone_from(&new.peers);
+                self.fleet(Fleet::Peers { peers: new.peers.clone() }, out);
+            }
+        }
+        self.tell_fleet(out);
         self.ask_at(node.discovery, out);
     }
 
@@ -49,6 +57,7 @@
         if node.site == self.node.site || self.node.tune(node.site.clone()).is_err() {
             return;
         }
+        self.node.digest = node.digest;
         let (site, limits) = (&self.node.site, Box::new(self.node.limits));
         let (facts, order) = (Box::new(site.facts.clone()), site.report);
         self.figures.name(&site.listeners);
--- /dev/null
+++ b/relay/src/status.rs
@@ -0,0 +1,116 @@
+//! `hallrelay fleet status`: asks a relay what it believes of its fleet, and says it.
+use hallrelay_fleet::status::{MemberStatus, Status};
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::body::Bytes;
+use hyper::client::conn::http1;
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+/// How long an answer may take, and bytes of it at most: a thousand members.
+const PATIENCE: Duration = Duration::from_secs(3);
+const MOST: usize = 4 << 20;
+
+/// A call of the second address; its status and body.
+pub fn call(at: SocketAddr, path: &'static str) -> Result<(StatusCode, Bytes), String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("the runtime does not start: {e}"))?;
+    let asked = async move {
+        let stream = TcpStream::connect(at).await.map_err(|e| e.to_string())?;
+        let (mut sender, connection) =
+            http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
+        let ask = Request::get(path).header("host", at.to_string()).body(Empty::<Bytes>::new());
+        let ask = ask.map_err(|e| e.to_string())?;
+        let answered = async {
+            let answer = sender.send_request(ask).await.map_err(|e| e.to_string())?;
+            let status = answer.status();
+            let body = Limited::new(answer.into_body(), MOST).collect().await.map_err(|e| e.to_string())?;
+            Ok::<_, String>((status, body.to_bytes()))
+        };
+        tokio::select! {
+            answer = answered => answer,
+            Err(e) = connection => Err(e.to_string()),
+        }
+    };
+    let bounded = async { tokio::time::timeout(PATIENCE, asked).await };
+    match runtime.block_on(bounded) {
+        Ok(answer) => answer.map_err(|e| format!("{at}: {e}")),
+        Err(_) => Err(format!("{at}: no answer within {} s", PATIENCE.as_secs())),
+    }
+}
+
+/// What a relay answers, or why there is no status.
+pub fn ask(at: SocketAddr) -> Result<Status, String> {
+    let (status, body) = call(at, "/v1/fleet")?;
+    if status != StatusCode::OK {
+        return Err(format!("{at}: {}", String::from_utf8_lossy(&body).trim_end()));
+    }
+    serde_json::from_slice(&body).map_err(|e| format!("{at}: an answer that is no status: {e}"))
+}
+
+/// As a table, this relay first.
+pub fn text(s: &Status) -> String {
+    let mut t = String::new();
+    _ = writeln!(
+        t,
+        "fleet {}, as {} believes: {}; it hears {} of {} configured (itself among them)",
+        s.fleet, s.name, s.believes, s.hears, s.configured
+    );
+    if let Some(twin) = &s.twin {
+        let holds = if twin.holds { "that one holds the name" } else { "this one holds the name" };
+        _ = writeln!(t, "another relay at {} has this one's name; {holds}, as the later start", twin.addr);
+    }
+    let dropped: Vec<String> = s.dropped.iter().map(|(what, n)| format!("{n} {what}")).collect();
+    if !dropped.is_empty() {
+        _ = writeln!(t, "messages dropped: {}", dropped.join(", "));
+    }
+    if s.doubt > 0 {
+        _ = writeln!(t, "it doubts itself {} of 8: it was late, or is told that it was", s.doubt);
+    }
+    let row = |m: &MemberStatus, own: bool| {
+        let heard = match (&m.told_by, m.heard_ms) {
+            _ if own => "itself".to_string(),
+            (Some(by), _) => format!("by {by}"),
+            (None, Some(ms)) => format!("{} ago", ago(ms)),
+            (None, None) => "never".to_string(),
+        };
+        let state = match m.accused_by.as_slice() {
+            [] => m.state.clone(),
+            by => format!("{}, says {}", m.state, by.join(" and ")),
+        };
+        let since = if own { "-".to_string() } else { ago(m.since_ms) };
+        [
+            m.name.clone(),
+            state,
+            since,
+            heard,
+            m.duty.clone(),
+            m.sessions.to_string(),
+            m.version.clone(),
+            m.digest.clone(),
+            m.addr.clone(),
+        ]
+    };
+    let head = ["relay", "state", "since", "heard", "duty", "sessions", "version", "settings", "address"];
+    let mut rows = vec![head.map(String::from)];
+    rows.extend(s.members.iter().enumerate().map(|(i, m)| row(m, i == 0)));
+    let width = |i: usize| rows.iter().map(|row| row[i].chars().count()).max().unwrap_or(0);
+    let widths: [usize; 9] = std::array::from_fn(width);
+    for row in &rows {
+        let cells: Vec<String> =
+            row.iter().zip(widths).map(|(cell, width)| format!("{cell:width$}")).collect();
+        _ = writeln!(t, "{}", cells.join("  ").trim_end());
+    }
+    t
+}
+
+fn ago(ms: u64) -> String {
+    match ms {
+        0..1_000 => format!("{ms} ms"),
+        1_000..120_000 => format!("{:.1} s", ms as f64 / 1e3),
+        _ => format!("{} min", ms / 60_000),
+    }
+}
--- a/relay/tests/common/mod.rs
+++ b/relay/tests/common/mod.rs
@@ -1,8 +1,9 @@
+#![allow(dead_code)] // each test takes of it what it uses
 //! A relay's process on free ports of 127.0.0.1, with backends that take every session and echo its lines.
 //! Nothing outlives the test: processes are killed as they are dropped, and every wait is bounded.
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -144,8 +145,11 @@
     }
 }
 
+/// At an address of its own, so that no connection of another test's takes the port meanwhile.
 pub fn free() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let (pid, n) = (std::process::id(), LAST_ID.fetch_add(1, Ordering::Relaxed));
+    let ip = Ipv4Addr::new(127, 20 + (pid % 200) as u8, (n >> 8) as u8, n as u8);
+    let listener = TcpListener::bind((ip, 0)).expect("a port");
     listener.local_addr().expect("its address")
 }
 
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -270,6 +270,7 @@
         Reply::Yes(word) => format!("yes {word}"),
         Reply::No(word) => format!("no {word}"),
         Reply::Conflict(word) => format!("conflict {word}"),
+        Reply::Fleet(told) => format!("fleet {}", told.as_ref().map_or("none", |s| s.believes.as_str())),
         Reply::Figures(figures) => {
             let text = hallrelay_relay::figures::text(figures);
             let some = text.lines().filter(|line| !line.contains(":0|"));
@@ -381,6 +382,7 @@
             },
             Effect::PassOn { sess, peer, .. } => format!("pass {sess} on to {peer}"),
             Effect::Part { peer } => format!("part from {peer}"),
+            Effect::Fleet(effect) => format!("to the fleet {effect:?}"),
             Effect::Note { .. } => "alarm".to_string(),
             Effect::GiveUp { why } => format!("give up: {why}"),
             Effect::Exit => "exit".to_string(),
