--- a/emulator/src/day.rs
+++ b/emulator/src/day.rs
@@ -1,8 +1,10 @@
-//! One day: fleet, clients, auditor and service figure together, for whoever drives them.
+//! One day: servers, clients, auditor and service figure together, for whoever drives them.
 use crate::audit::Audit;
+use crate::beliefs::Beliefs;
 use crate::clients::{Clients, Does};
-use crate::fleet::{Fleet, Told};
+use crate::links::{Arrival, Links};
 use crate::script::{Act, Deed};
+use crate::servers::{Servers, Told};
 use crate::service::{Outcome, Service};
 use hallrelay::types::Micros;
 use hallrelay_config::scenario::Scenario;
@@ -12,10 +14,15 @@
     pub seed: u64,
     pub begin: Micros,
     pub end: Micros,
-    pub fleet: Fleet,
+    pub servers: Servers,
     pub clients: Clients,
     pub audit: Audit,
     pub service: Service,
+    /// The ways between relays, and what these believe of each other.
+    pub links: Links,
+    pub beliefs: Beliefs,
+    /// By relay: whether the way to its list service is cut.
+    pub list_cut: Vec<bool>,
     forget_at: Micros,
 }
 
@@ -27,20 +34,22 @@
     pub deeds: Vec<(usize, Deed)>,
     pub list_down: Option<bool>,
     pub list_news: bool,
+    /// Datagrams between relays that were held, and go on now.
+    pub arrivals: Vec<Arrival>,
 }
 
 impl Todo {
     pub fn is_empty(&self) -> bool {
         let quiet = self.told.is_empty() && self.does.is_empty() && self.deeds.is_empty();
-        quiet && !self.list_news && self.list_down.is_none()
+        quiet && self.arrivals.is_empty() && !self.list_news && self.list_down.is_none()
     }
 }
 
 impl Day {
     pub fn new(s: &Scenario, seed: u64, begin: Micros) -> Day {
-        let fleet = Fleet::new(s, seed, begin);
-        let places = (0..fleet.len()).map(|i| (fleet.zone(i), fleet.book.plates[i].cell)).collect();
-        let names = fleet.book.plates.iter().map(|p| p.id.clone()).collect();
+        let servers = Servers::new(s, seed, begin);
+        let places = (0..servers.len()).map(|i| (servers.zone(i), servers.book.plates[i].cell)).collect();
+        let names = servers.book.plates.iter().map(|p| p.id.clone()).collect();
         Day {
             s: s.clone(),
             seed,
@@ -49,25 +58,32 @@
             clients: Clients::new(s, seed, begin),
             audit: Audit::new(s, places, names, begin),
             service: Service::new(s, begin),
-            fleet,
+            links: Links::new(s.net.server_ms.us(), seed),
+            beliefs: Beliefs::new(s.relays.count, begin),
+            list_cut: vec![false; s.relays.count],
+            servers,
             forget_at: begin,
         }
     }
 
     /// When it wants to be stepped next.
     pub fn next(&self) -> Micros {
-        let times = [self.fleet.next(), self.clients.next()];
+        let times = [self.servers.next(), self.clients.next()];
         times.into_iter().flatten().fold(self.service.next(), Micros::min)
     }
 
     /// All that is due by now. What servers say comes as `told`, what clients do as `does`.
     pub fn step(&mut self, now: Micros, todo: &mut Todo) {
-        self.fleet.step(now, &mut todo.told);
+        self.servers.step(now, &mut todo.told);
         self.sort(now, todo);
         self.clients.step(now, &mut todo.does);
         if now >= self.service.next() {
-            self.service.tick(now, &mut self.fleet, &self.clients, &mut todo.told);
+            self.service.tick(now, &mut self.servers, &self.clients, &mut todo.told);
             self.audit.look(now);
+            if self.s.relays.fleet {
+                self.look_at_links(now);
+                self.beliefs.look(now);
+            }
             self.sort(now, todo);
         }
         if now >= self.forget_at {
@@ -90,8 +106,8 @@
                 Told::Log(text) => self.service.note(now, text),
                 Told::Fell { server, blamed } => self.audit.fell(now, server, blamed),
                 Told::List => {
-                    for server in 0..self.fleet.len() {
-                        self.audit.listed(now, server, self.fleet.book.entry(server).phase);
+                    for server in 0..self.servers.len() {
+                        self.audit.listed(now, server, self.servers.book.entry(server).phase);
                     }
                     todo.list_news = true;
                 }
@@ -99,6 +115,19 @@
                 Told::Act(Act::Rate { times }) => self.clients.rate_times(times),
                 Told::Act(Act::Reconnect { part, within }) => self.clients.reconnect(now, part, within),
                 Told::Act(Act::Relay { relay, deed }) => todo.deeds.push((relay, deed)),
+                Told::Act(Act::Links { trouble, harm: Some((ways, harm)) }) => {
+                    self.links.begin(trouble, ways, harm);
+                    self.look_at_links(now);
+                }
+                Told::Act(Act::Links { trouble, harm: None }) => {
+                    // Cut till now, and no longer.
+                    self.look_at_links(now);
+                    self.links.end(now, trouble, &mut todo.arrivals);
+                }
+                Told::Act(Act::CutList { relay, cut }) => {
+                    self.list_cut[relay] = cut;
+                    todo.list_news = true;
+                }
                 other => kept.push(other),
             }
         }
@@ -107,13 +136,24 @@
 
     /// The list has told a relay of these servers, as it stands.
     pub fn list_told(&mut self, now: Micros, relay: usize, servers: &[usize], out: &mut Vec<Told>) {
-        self.fleet.told(now, relay, servers, out);
+        self.servers.told(now, relay, servers, out);
         for &server in servers {
-            self.audit.told(now, relay, server, self.fleet.book.entry(server).phase);
+            self.audit.told(now, relay, server, self.servers.book.entry(server).phase);
         }
     }
 
+    fn look_at_links(&mut self, now: Micros) {
+        self.beliefs.cut(now, |relay| self.links.cut(relay));
+    }
+
     pub fn outcome(&self) -> Outcome {
-        self.service.outcome(&self.s, self.seed, &self.fleet, &self.clients, &self.audit)
+        let mut out = self.service.outcome(&self.s, self.seed, &self.servers, &self.clients, &self.audit);
+        if self.s.relays.fleet {
+            let mut fleet = self.beliefs.outcome();
+            let p = self.links.passed;
+            fleet.datagrams = [p.sent, p.arrived, p.lost, p.damaged];
+            out.fleet = Some(fleet);
+        }
+        out
     }
 }
--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -2,13 +2,15 @@
 //! are stepped on whole microseconds, draw chance from a seed, and give the same outputs for the same inputs.
 //! `net` puts them on sockets of 127.0.0.0/8.
 pub mod audit;
+pub mod beliefs;
 pub mod clients;
 pub mod day;
-pub mod fleet;
+pub mod links;
 pub mod list;
 pub mod net;
 pub mod node;
 pub mod script;
 pub mod server;
+pub mod servers;
 pub mod service;
 pub mod tools;
--- a/emulator/src/net/list.rs
+++ b/emulator/src/net/list.rs
@@ -13,6 +13,9 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 
+/// How soon a cut way is found whole again.
+const CUT: Duration = Duration::from_millis(20);
+
 type Body = http_body_util::combinators::UnsyncBoxBody<Bytes, Infallible>;
 
 /// Serves one relay's list at a free port, and at another one each time that it moves.
@@ -53,6 +56,10 @@
     host: Shared,
 ) {
     _ = stream.set_nodelay(true);
+    // Nothing comes through while the way is cut; who waits gives up by itself.
+    while host.day.borrow().list_cut[relay] {
+        tokio::time::sleep(CUT).await;
+    }
     moved.mark_unchanged();
     let answers = service_fn(|ask: Request<Incoming>| {
         let host = host.clone();
@@ -104,15 +111,15 @@
 
 fn text(relay: usize, reset: bool, servers: &[usize], host: &Shared) -> String {
     let day = host.day.borrow();
-    let line = day.fleet.book.json(reset, servers, |server| host.servers[relay][server].to_string());
+    let line = day.servers.book.json(reset, servers, |server| host.servers[relay][server].to_string());
     line.to_string() + "\n"
 }
 
 fn whole(relay: usize, host: &Shared) -> String {
-    let servers = host.day.borrow().fleet.book.whole();
+    let servers = host.day.borrow().servers.book.whole();
     let line = text(relay, true, &servers, host);
     // What a whole list leaves out is gone; all that there is was told.
-    let all: Vec<usize> = (0..host.day.borrow().fleet.len()).collect();
+    let all: Vec<usize> = (0..host.day.borrow().servers.len()).collect();
     host.with(|day, now, todo| day.list_told(now, relay, &all, &mut todo.told));
     line
 }
@@ -127,14 +134,17 @@
             if to.send_data(line.into()).await.is_err() {
                 return;
             }
-            host.day.borrow().fleet.book.generation
+            host.day.borrow().servers.book.generation
         }
     };
     let mut first = true;
     loop {
+        while host.day.borrow().list_cut[relay] {
+            tokio::time::sleep(CUT).await;
+        }
         let (generation, servers) = {
             let day = host.day.borrow();
-            (day.fleet.book.generation, day.fleet.book.since(since))
+            (day.servers.book.generation, day.servers.book.since(since))
         };
         if first || generation > since {
             first = false;
--- a/emulator/src/net/mod.rs
+++ b/emulator/src/net/mod.rs
@@ -3,14 +3,17 @@
 pub mod bad;
 pub mod client;
 pub mod lines;
+pub mod links;
 pub mod list;
 pub mod server;
 
 use crate::audit::DialOver;
+use crate::beliefs::Is;
 use crate::clients::{mix, Ask, Does};
 use crate::day::{Day, Todo};
-use crate::fleet::{ConnNo, Told, Word};
+use crate::links::Arrival;
 use crate::script::Deed;
+use crate::servers::{ConnNo, Told, Word};
 use crate::service::BadFigures;
 use hallrelay::types::Micros;
 use std::cell::{Cell, RefCell};
@@ -85,6 +88,9 @@
     /// By relay: counted up as its list service moves.
     pub list_moves: RefCell<Vec<watch::Sender<u64>>>,
     pub list_at: RefCell<Vec<SocketAddr>>,
+    /// Datagrams that were held between relays, and go on.
+    arrivals: RefCell<Vec<Arrival>>,
+    let_go: tokio::sync::Notify,
     deeds: RefCell<Vec<(usize, Deed)>>,
     deed_due: tokio::sync::Notify,
     stepped: tokio::sync::Notify,
@@ -118,6 +124,8 @@
             list_down: Cell::new(false),
             list_moves: RefCell::new((0..count).map(|_| watch::channel(0).0).collect()),
             list_at: RefCell::new(vec![nowhere; count]),
+            arrivals: RefCell::default(),
+            let_go: tokio::sync::Notify::new(),
             deeds: RefCell::default(),
             deed_due: tokio::sync::Notify::new(),
             stepped: tokio::sync::Notify::new(),
@@ -158,6 +166,10 @@
             if news {
                 self.news.send_modify(|n| *n += 1);
             }
+            if !todo.arrivals.is_empty() {
+                self.arrivals.borrow_mut().append(&mut todo.arrivals);
+                self.let_go.notify_one();
+            }
             if !deeds.is_empty() {
                 self.deeds.borrow_mut().extend(deeds);
                 self.deed_due.notify_one();
@@ -279,7 +291,7 @@
         let Some(c) = self.forget(conn) else { return };
         self.with(|day, now, todo| {
             day.audit.dial_over(now, c.mark, c.server, DialOver::Ran);
-            day.fleet.closed(now, conn, &mut todo.told);
+            day.servers.closed(now, conn, &mut todo.told);
         });
     }
 
@@ -287,7 +299,7 @@
     fn cut_off(self: &Rc<Host>, mark: u64) {
         let Some(&(conn, server, _)) = self.of(mark).first() else { return };
         self.with(|day, now, _| {
-            if day.fleet.has(conn) && day.fleet.is_up(server) {
+            if day.servers.has(conn) && day.servers.is_up(server) {
                 day.audit.cut_off(now, mark);
             }
         });
@@ -297,19 +309,38 @@
     pub fn relay_ended(self: &Rc<Host>, relay: usize) {
         self.with(|day, now, _| {
             day.audit.relay_ends(relay);
-            day.fleet.forgets(relay);
+            day.beliefs.is(now, relay, Is::Down);
+            day.servers.forgets(relay);
             day.clients.relay_is(now, relay, false);
         });
     }
 
     /// It takes no new ones, though it still answers those that it has.
     pub fn relay_stops(self: &Rc<Host>, relay: usize) {
-        self.with(|day, now, _| day.clients.relay_is(now, relay, false));
+        self.with(|day, now, _| {
+            day.clients.relay_is(now, relay, false);
+            day.beliefs.is(now, relay, Is::Stopping);
+        });
+    }
+
+    /// A relay's process stands still from now on, or goes on.
+    pub fn relay_stalls(self: &Rc<Host>, relay: usize, stalls: bool) {
+        self.with(|day, now, _| {
+            day.beliefs.is(now, relay, if stalls { Is::Stalled } else { Is::Up });
+            if stalls {
+                day.audit.relay_stalls(relay);
+            } else {
+                day.audit.relay_wakes(now, relay);
+            }
+        });
     }
 
     /// A relay's process has started; true as it answers `PING`.
     pub async fn relay_started(self: &Rc<Host>, relay: usize, within: Duration) -> bool {
-        self.with(|day, now, _| day.audit.relay_starts(now, relay));
+        self.with(|day, now, _| {
+            day.audit.relay_starts(now, relay);
+            day.beliefs.is(now, relay, Is::Up);
+        });
         let addr = self.relays.borrow()[relay];
         let pinged = async {
             while !client::ping(addr).await {
--- a/emulator/src/net/server.rs
+++ b/emulator/src/net/server.rs
@@ -2,7 +2,7 @@
 use super::lines::{self, Lines, Unread};
 use super::{Conn, Host, Shared, ToConn};
 use crate::clients::Ask;
-use crate::fleet::{Dialled, Reach, Word};
+use crate::servers::{Dialled, Reach, Word};
 use hallrelay_config::scenario::Fault;
 use socket2::{Domain, SockRef, Socket, Type};
 use std::net::SocketAddr;
@@ -29,7 +29,7 @@
     let addr = host.servers[relay][server];
     let mut changed = host.reach.subscribe();
     loop {
-        let reach = host.day.borrow().fleet.reach(server, relay);
+        let reach = host.day.borrow().servers.reach(server, relay);
         let what = match reach {
             Reach::Refused => {
                 _ = changed.changed().await;
@@ -49,14 +49,14 @@
         if reach == Reach::NeverUp {
             // Connections that nobody takes fill the place there is: what comes after them never comes up.
             let fillers: Vec<_> = (0..4).map(|_| filler(addr)).collect();
-            while host.day.borrow().fleet.reach(server, relay) == Reach::NeverUp {
+            while host.day.borrow().servers.reach(server, relay) == Reach::NeverUp {
                 _ = changed.changed().await;
             }
             drop(fillers);
             continue;
         }
         let Ok(listener) = TcpListener::from_std(what.into()) else { continue };
-        while host.day.borrow().fleet.reach(server, relay) == Reach::Open {
+        while host.day.borrow().servers.reach(server, relay) == Reach::Open {
             tokio::select! {
                 taken = listener.accept() => match taken {
                     Ok((stream, _)) => {
@@ -99,7 +99,7 @@
 }
 
 async fn conn(server: usize, relay: usize, stream: TcpStream, host: Shared) {
-    let fault = host.day.borrow_mut().fleet.fault(server);
+    let fault = host.day.borrow_mut().servers.fault(server);
     if matches!(fault, Some(Fault::ResetBefore | Fault::Refused)) {
         return reset(stream);
     }
@@ -200,7 +200,7 @@
 
 /// Waits as long as the machine is silent or cut off.
 async fn mute(server: usize, relay: usize, reach: &mut watch::Receiver<u64>, host: &Rc<Host>) {
-    while !host.day.borrow().fleet.speaks(server, relay) {
+    while !host.day.borrow().servers.speaks(server, relay) {
         if reach.changed().await.is_err() {
             return;
         }
@@ -238,9 +238,9 @@
 }
 
 async fn probed(server: usize, relay: usize, line: &str, stream: &TcpStream, host: &Rc<Host>) -> bool {
-    let (done, figures) = host.with(|day, now, todo| day.fleet.probed(now, server, relay, &mut todo.told));
+    let (done, figures) = host.with(|day, now, todo| day.servers.probed(now, server, relay, &mut todo.told));
     tokio::time::sleep_until(host.clock.at(done)).await;
-    if !host.day.borrow().fleet.speaks(server, relay) {
+    if !host.day.borrow().servers.speaks(server, relay) {
         return true;
     }
     let text = if line == "PING" {
@@ -287,7 +287,7 @@
             day.audit.dialled(now, first, mark, at.server, at.relay);
         }
         if !held {
-            day.fleet.dialled(now, no, &dialled, &mut todo.told);
+            day.servers.dialled(now, no, &dialled, &mut todo.told);
         }
     });
     Ok(no)
@@ -298,7 +298,7 @@
     let (mark, rest) = lines::opened(line)?;
     let ask = host.asks.borrow().get(&mark)?.clone();
     let day = host.day.borrow();
-    let at = ask.at.map(|i| day.fleet.book.plates[i].id.clone());
+    let at = ask.at.map(|i| day.servers.book.plates[i].id.clone());
     let sent = lines::open(&ask, &day.s.listeners[ask.listener].name, at.as_deref());
     (lines::opened(&sent)?.1 == rest).then_some((mark, ask))
 }
--- a/emulator/src/node.rs
+++ b/emulator/src/node.rs
@@ -11,6 +11,10 @@
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
     pub seed: u64,
+    /// Where operators call; none where nobody does.
+    pub operator: Option<SocketAddr>,
+    /// Where it meets the other relays, and where all of them are reached; none where they know nobody.
+    pub fleet: Option<(SocketAddr, Vec<SocketAddr>)>,
 }
 
 pub fn settings(s: &Scenario, relay: usize) -> Value {
@@ -39,22 +43,41 @@
         "Listeners": listeners,
         "Ceilings": {"MayProbe": s.relays.may_probe, "MostDials": s.relays.most_dials, "MaxOpen": 1_000_000,
             "RetryAfter": false, "MaxRetryAfter": 1500.0, "ConnectTimeout": ms(s.relays.connect_timeout_ms.us())},
-        "Rules": {"Cold": ms(s.fleet.cold_s.us()), "ColdFrom": s.fleet.cold_from.0,
+        "Rules": {"Cold": ms(s.servers.cold_s.us()), "ColdFrom": s.servers.cold_from.0,
             "FallMultiple": s.rules.fall_multiple.0, "Fall": ms(s.rules.fall_s.us()),
             "DrainGrace": ms(s.rules.drain_grace_ms.us()), "AskWithin": ms(s.rules.ask_within_s.us())},
         "Charges": {"CrossZone": 0.0, "Moves": s.goal.price_move.0, "Probe": s.goal.price_probe.0},
-        "FamilyInfo": {"Mode": "proxy", "Groups": s.load.groups > 0, "TellsDelay": s.fleet.tells_delay,
-            "TellsLoad": s.fleet.tells_load, "MessageAim": messages},
+        "FamilyInfo": {"Mode": "proxy", "Groups": s.load.groups > 0, "TellsDelay": s.servers.tells_delay,
+            "TellsLoad": s.servers.tells_load, "MessageAim": messages},
         "Report": {"How": "on_probe", "Fields": ["inflight", "x0", "x1"]},
         "Discovery": if s.list.watched { "subscribe" } else { "automatic" },
-        "FailureDomains": s.fleet.zones, "Zone": relay % s.fleet.zones.len(),
+        "FailureDomains": s.servers.zones, "Zone": relay % s.servers.zones.len(),
         "Instances": s.relays.count, "SlotNo": relay})
 }
 
 /// The whole text, with the list as this relay last had it.
 pub fn text(s: &Scenario, place: &Place, book: &Book, addr: impl Fn(usize) -> String) -> Value {
     let known = book.json(true, &book.whole(), addr);
-    json!({"name": format!("relay-{}", place.relay), "listen": place.listen.to_string(),
+    let mut text = json!({"name": name(place.relay), "listen": place.listen.to_string(),
         "discovery": place.discovery.to_string(), "seed": format!("{:016x}", place.seed),
-        "limits": {"sockets": s.relays.sockets}, "known": known, "settings": settings(s, place.relay)})
+        "limits": {"sockets": s.relays.sockets}, "known": known, "settings": settings(s, place.relay)});
+    if let Some(operator) = place.operator {
+        text["operator"] = json!(operator.to_string());
+    }
+    if let Some((listen, reached)) = &place.fleet {
+        let peers: Vec<String> = reached.iter().take(s.relays.seeds).map(ToString::to_string).collect();
+        text["fleet"] = json!({"name": s.name, "listen": listen.to_string(),
+            "advertise": reached[place.relay].to_string(), "peers": peers});
+    }
+    text
+}
+
+/// How a relay is called.
+pub fn name(relay: usize) -> String {
+    format!("relay-{relay}")
+}
+
+/// The relay of a name.
+pub fn number(name: &str) -> Option<usize> {
+    name.strip_prefix("relay-")?.parse().ok()
 }
--- a/emulator/src/script.rs
+++ b/emulator/src/script.rs
@@ -1,8 +1,10 @@
 //! Troubles of a scenario as single acts at their times: whom they meet is drawn from the seed. They may
 //! overlap, and each ends by itself.
+use crate::links::{Harm, Ways};
 use crate::tools::{Chance, Queue};
 use hallrelay::types::Micros;
 use hallrelay_config::scenario::{Drains, Fault, Scenario, Trouble, TroubleKind};
+use std::rc::Rc;
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Act {
@@ -77,6 +79,21 @@
         relay: usize,
         deed: Deed,
     },
+    /// Something is wrong with ways between relays from now on, or no more.
+    Links {
+        trouble: usize,
+        harm: Option<(Rc<Ways>, Harm)>,
+    },
+    /// A relay and the list service, or a relay and a server, don't hear each other.
+    CutList {
+        relay: usize,
+        cut: bool,
+    },
+    CutServer {
+        relay: usize,
+        server: usize,
+        cut: bool,
+    },
     /// A trouble begins or is over, for those who watch.
     Mark {
         text: String,
@@ -89,6 +106,10 @@
     Stop,
     Start,
     Reload,
+    Stall,
+    Wake,
+    /// Another process takes the place of the running one.
+    Replace,
 }
 
 /// A trouble as a page shows it, in microseconds from the day's beginning.
@@ -161,7 +182,7 @@
     }
 
     fn servers(&mut self) -> Vec<usize> {
-        self.some(self.s.servers())
+        self.some(self.s.server_count())
     }
 
     /// An act for each server that it meets, and one that ends it.
@@ -191,7 +212,7 @@
                 self.each(to, |server| slows(server, strength), |server| slows(server, 1.0));
             }
             TroubleKind::SharedSlow => {
-                for server in 0..self.s.servers() {
+                for server in 0..self.s.server_count() {
                     self.acts.at(from, Act::Slows { server, trouble: i, times: strength });
                     self.acts.at(to, Act::Slows { server, trouble: i, times: 1.0 });
                 }
@@ -217,7 +238,8 @@
                 self.each(to, |server| wire(server, fault), |server| wire(server, None));
             }
             TroubleKind::ZoneCut => {
-                let zone = self.t.zone.as_ref().and_then(|z| self.s.fleet.zones.iter().position(|n| n == z));
+                let zone =
+                    self.t.zone.as_ref().and_then(|z| self.s.servers.zones.iter().position(|n| n == z));
                 let zone = zone.unwrap_or(0);
                 self.acts.at(from, Act::Cut { zone, cut: true });
                 self.acts.at(to, Act::Cut { zone, cut: false });
@@ -244,16 +266,45 @@
                 self.acts.at(from, Act::ListLate { by: seconds });
                 self.acts.at(to, Act::ListLate { by: 0 });
             }
-            TroubleKind::RelayKilled | TroubleKind::RelayStopped | TroubleKind::RelayReloaded => {
-                let deed = match self.t.kind {
-                    TroubleKind::RelayKilled => Deed::Kill,
-                    TroubleKind::RelayStopped => Deed::Stop,
-                    _ => Deed::Reload,
-                };
-                for relay in self.some(self.s.relays.count) {
-                    self.acts.at(from, Act::Relay { relay, deed });
-                    if deed != Deed::Reload {
-                        self.acts.at(to.max(from + 1), Act::Relay { relay, deed: Deed::Start });
+            TroubleKind::RelayKilled => self.relays(from, Deed::Kill, Some((to, Deed::Start))),
+            TroubleKind::RelayStopped => self.relays(from, Deed::Stop, Some((to, Deed::Start))),
+            TroubleKind::RelayStalled => self.relays(from, Deed::Stall, Some((to, Deed::Wake))),
+            TroubleKind::RelayReloaded => self.relays(from, Deed::Reload, None),
+            TroubleKind::RelayReplaced => self.relays(from, Deed::Replace, None),
+            TroubleKind::RelayLooping => {
+                let every = self.t.every_s.us();
+                for relay in self.met_relays() {
+                    let mut at = from;
+                    while at < to {
+                        self.acts.at(at, Act::Relay { relay, deed: Deed::Kill });
+                        at += every;
+                        self.acts.at(at.min(to), Act::Relay { relay, deed: Deed::Start });
+                        // As long as it takes to die once more, it lives.
+                        at += every;
+                    }
+                }
+            }
+            TroubleKind::LinkCut | TroubleKind::LinkSplit => self.come_and_go(to, Harm::Cut),
+            TroubleKind::LinkLoss => self.links(from, to, Harm::Loss(strength)),
+            TroubleKind::LinkDouble => self.links(from, to, Harm::Double(strength)),
+            TroubleKind::LinkDelay => self.links(from, to, Harm::Delay(self.delays())),
+            TroubleKind::LinkReorder => self.links(from, to, Harm::Reorder(strength, self.delays())),
+            TroubleKind::LinkDamage => self.links(from, to, Harm::Damage(strength)),
+            TroubleKind::LinkHold => self.links(from, to, Harm::Hold),
+            TroubleKind::ListCut => {
+                for relay in self.met_relays() {
+                    self.acts.at(from, Act::CutList { relay, cut: true });
+                    self.acts.at(to, Act::CutList { relay, cut: false });
+                }
+            }
+            TroubleKind::ServersCut => {
+                // The named relays, or all: a share of the servers is what `share` means here.
+                let all: Vec<usize> = (0..self.s.relays.count).collect();
+                let relays = if self.t.relays.is_empty() { all } else { self.t.relays.clone() };
+                for server in self.servers() {
+                    for &relay in &relays {
+                        self.acts.at(from, Act::CutServer { relay, server, cut: true });
+                        self.acts.at(to, Act::CutServer { relay, server, cut: false });
                     }
                 }
             }
@@ -264,6 +315,51 @@
         }
     }
 
+    /// The relays that it names, or a share of them.
+    fn met_relays(&mut self) -> Vec<usize> {
+        if self.t.relays.is_empty() {
+            self.some(self.s.relays.count)
+        } else {
+            self.t.relays.clone()
+        }
+    }
+
+    fn relays(&mut self, from: Micros, deed: Deed, then: Option<(Micros, Deed)>) {
+        for relay in self.met_relays() {
+            self.acts.at(from, Act::Relay { relay, deed });
+            if let Some((at, deed)) = then {
+                self.acts.at(at.max(from + 1), Act::Relay { relay, deed });
+            }
+        }
+    }
+
+    fn delays(&self) -> [Micros; 2] {
+        self.t.delay_ms.map(|ms| ms.us())
+    }
+
+    fn links(&mut self, from: Micros, to: Micros, harm: Harm) {
+        let (count, trouble, t) = (self.s.relays.count, self.i, self.t);
+        let ways = match t.kind {
+            TroubleKind::LinkSplit => Ways::apart(count, &t.groups, t.bridge),
+            _ => Ways::between(count, &t.from, &t.to, t.one_way),
+        };
+        self.acts.at(from, Act::Links { trouble, harm: Some((Rc::new(ways), harm)) });
+        self.acts.at(to, Act::Links { trouble, harm: None });
+    }
+
+    /// All the time, or for the first half of each period.
+    fn come_and_go(&mut self, to: Micros, harm: Harm) {
+        let every = self.t.every_s.us();
+        if every == 0 {
+            return self.links(self.from, to, harm);
+        }
+        let mut at = self.from;
+        while at < to {
+            self.links(at, (at + every / 2).min(to), harm);
+            at += every;
+        }
+    }
+
     /// Stands still for `strength` of each period.
     fn pauses(&mut self, to: Micros) {
         // Seldom enough that each is felt by itself.
@@ -284,8 +380,8 @@
     fn release(&mut self, at: Micros, out: Micros, server: usize) {
         // The list must have told of it, and the clients have left, before the process ends.
         let told = self.s.list.notice_s[1].us();
-        let drained = match self.s.fleet.drains {
-            Drains::BitByBit => self.s.fleet.drain_s.us(),
+        let drained = match self.s.servers.drains {
+            Drains::BitByBit => self.s.servers.drain_s.us(),
             Drains::AtOnce => 500_000,
         };
         let ends = at + told + drained;
--- a/emulator/src/fleet.rs
+++ b/emulator/src/servers/mod.rs
@@ -1,5 +1,8 @@
-//! The fleet: servers, their sessions, the shared store, reports, troubles, and what the list service knows of
+//! The servers: their sessions, the shared store, reports, troubles, and what the list service knows of
 //! it. No I/O: what reaches a server is a call with its time, what servers say is appended.
+mod sessions;
+mod troubles;
+
 use crate::list::{Book, Entry, Plate};
 use crate::script::{self, Act};
 use crate::server::{Cores, Life, Machine, Server, Work, CORE};
@@ -11,7 +14,7 @@
 /// Sessions may be set up this long before a day begins.
 pub const PREPARED: Micros = 60_000_000;
 
-/// A relay's connection to a server, numbered by who drives the fleet.
+/// A relay's connection to a server, numbered by who drives them.
 pub type ConnNo = u64;
 
 /// A first line, as it comes to a server.
@@ -151,7 +154,7 @@
     pub fell: u32,
 }
 
-pub struct Fleet {
+pub struct Servers {
     s: Scenario,
     nodes: Vec<Node>,
     /// Looked up and never walked.
@@ -161,6 +164,8 @@
     pub book: Book,
     list_late: Micros,
     cut: Vec<bool>,
+    /// Servers and relays that don't hear each other.
+    cut_pairs: BTreeSet<(usize, usize)>,
     store_at: Micros,
     store_times: f64,
     rng: Chance,
@@ -168,31 +173,31 @@
     now: Micros,
 }
 
-impl Fleet {
-    pub fn new(s: &Scenario, seed: u64, begin: Micros) -> Fleet {
+impl Servers {
+    pub fn new(s: &Scenario, seed: u64, begin: Micros) -> Servers {
         let mut rng = Chance::new(seed, 1);
         let (mut nodes, mut plates, mut due) = (Vec::new(), Vec::new(), Queue::default());
-        for kind in &s.fleet.kinds {
+        for kind in &s.servers.kinds {
             for _ in 0..kind.count {
                 let i = nodes.len();
                 let off = 1.0 + kind.speed_off.0 * (2.0 * rng.part() - 1.0);
                 let machine = Machine {
                     cores: kind.cores,
                     speed: (kind.speed.0 * off * CORE as f64) as Cores,
-                    cold_from: s.fleet.cold_from.0,
-                    cold: s.fleet.cold_s.us(),
-                    at_the_end: s.fleet.warms == Warms::AtTheEnd,
+                    cold_from: s.servers.cold_from.0,
+                    cold: s.servers.cold_s.us(),
+                    at_the_end: s.servers.warms == Warms::AtTheEnd,
                     fall_multiple: s.rules.fall_multiple.0,
                     fall: s.rules.fall_s.us(),
                 };
-                let zone = i % s.fleet.zones.len();
+                let zone = i % s.servers.zones.len();
                 plates.push(Plate {
                     id: format!("s-{i:03}"),
-                    zone: s.fleet.zones[zone].clone(),
+                    zone: s.servers.zones[zone].clone(),
                     kind: kind.name.clone(),
                     cell: (i / 4) as u16,
                 });
-                let every = rng.between(s.fleet.report_every_ms.map(|t| t.us()));
+                let every = rng.between(s.servers.report_every_ms.map(|t| t.us()));
                 due.at(begin + rng.between([0, every]), Due::Report(i));
                 due.at(begin + rng.between([0, 1_000_000]), Due::Beat(i));
                 let server = Server::new(machine, begin - PREPARED);
@@ -217,8 +222,9 @@
             }
         }
         let acts = script::acts(s, begin, &mut Chance::new(seed, 2));
-        Fleet {
-            cut: vec![false; s.fleet.zones.len()],
+        Servers {
+            cut: vec![false; s.servers.zones.len()],
+            cut_pairs: BTreeSet::new(),
             s: s.clone(),
             nodes,
             conns: HashMap::new(),
@@ -279,7 +285,7 @@
             Due::Report(server) => {
                 self.advance(server, out);
                 let off = |rng: &mut Chance, part: f64| (1.0 + part * rng.normal()).max(0.0);
-                let (noise, late) = (self.s.fleet.report_noise.0, self.s.fleet.report_late_ms);
+                let (noise, late) = (self.s.servers.report_noise.0, self.s.servers.report_late_ms);
                 let n = &mut self.nodes[server];
                 let figures = Figures {
                     inflight: n.conns.len() as u32,
@@ -371,13 +377,13 @@
     }
 
     pub fn zone_of_relay(&self, relay: usize) -> usize {
-        relay % self.s.fleet.zones.len()
+        relay % self.s.servers.zones.len()
     }
 
     /// Whether the way between a relay and a server is cut.
     fn is_cut(&self, server: usize, relay: usize) -> bool {
         let (a, b) = (self.nodes[server].zone, self.zone_of_relay(relay));
-        a != b && (self.cut[a] || self.cut[b])
+        (a != b && (self.cut[a] || self.cut[b])) || self.cut_pairs.contains(&(server, relay))
     }
 
     /// Whether a server says anything to a relay now.
@@ -405,183 +411,6 @@
         (self.rng.part() < part).then_some(fault)
     }
 
-    /// The last byte of a first line has come.
-    pub fn dialled(&mut self, now: Micros, conn: ConnNo, d: &Dialled, out: &mut Vec<Told>) {
-        self.now = self.now.max(now);
-        let (now, server) = (self.now, d.server);
-        self.advance(server, out);
-        self.counts.dials += 1;
-        // Sessions that stood before cost nothing again.
-        let setup = self.s.fleet.setup_ms.us() * CORE * u64::from(!d.standing);
-        let n = &mut self.nodes[server];
-        if n.server.life != Life::Up {
-            return;
-        }
-        self.counts.setup += setup;
-        let told = n.knows[d.relay];
-        let cap = self.s.fleet.cap_per_core as usize * n.server.machine.cores as usize;
-        // What waits at the store longer than this is turned away: its queue is bounded.
-        const STORE: Micros = 2_000_000;
-        let store_full = self.store_at > now + STORE;
-        let full = n.conns.len() >= cap || ((n.server.draining || store_full) && !d.standing);
-        // Turning away is work as well, if little.
-        let work = if full { setup / 10 } else { setup };
-        let done = n.server.done(now, work);
-        let fell = n.server.burst(now, work, told);
-        let fails = self.rng.part() < n.fails;
-        if full || fails {
-            self.counts.wasted += work;
-            out.push(Told::Word { conn, word: if full { Word::Busy } else { Word::Err } });
-        } else {
-            let l = &self.s.listeners[d.listener];
-            // The same client weighs the same wherever it goes.
-            let usual = l.load.0 * Chance::new(d.key, 3).about_one(l.load_sigma.0);
-            let c = Conn {
-                server,
-                relay: d.relay,
-                listener: d.listener,
-                group: d.group,
-                open: false,
-                load: 0,
-                usual,
-                setup,
-            };
-            n.conns.insert(conn);
-            self.conns.insert(conn, c);
-            let stored = if d.standing { now } else { self.stored() };
-            self.due.at(done.max(stored), Due::Ready(conn));
-            if let Some(life) = d.life {
-                self.due.at(now + life, Due::Ends(conn));
-            }
-        }
-        if fell {
-            self.fell(server, out);
-        }
-    }
-
-    /// When the shared store has taken one more session in.
-    fn stored(&mut self) -> Micros {
-        if self.s.fleet.store_per_s.0 <= 0.0 {
-            return self.now;
-        }
-        let each = (1e6 / self.s.fleet.store_per_s.0 * self.store_times) as Micros;
-        self.store_at = self.store_at.max(self.now) + each;
-        self.store_at
-    }
-
-    fn ready(&mut self, conn: ConnNo, out: &mut Vec<Told>) {
-        let now = self.now;
-        let Some(c) = self.conns.get(&conn) else { return };
-        let (server, relay) = (c.server, c.relay);
-        match self.nodes[server].server.life {
-            Life::Up => {}
-            _ => return,
-        }
-        if self.nodes[server].server.stands.is_some() {
-            // Looked at again soon: how long it stands is not known here.
-            return self.due.at(now + 10_000, Due::Ready(conn));
-        }
-        self.advance(server, out);
-        let unit = unit(&self.s);
-        let Some(c) = self.conns.get_mut(&conn) else { return };
-        let l = &self.s.listeners[c.listener];
-        let load = (c.usual * self.rng.about_one(l.swing_sigma.0) * unit as f64) as Cores;
-        (c.open, c.load) = (true, load);
-        let n = &mut self.nodes[server];
-        n.open[c.listener] += 1;
-        let mut more = load;
-        if c.group != 0 {
-            let members = n.groups.entry(c.group).or_insert(0);
-            *members += 1;
-            more += if *members == 1 { group_cost(&self.s) } else { 0 };
-        }
-        n.asks[relay] += more;
-        let told = n.knows[relay];
-        n.server.ask(more, 0, told);
-        let change = self.rng.wait(l.change_s.us() as f64) as Micros;
-        out.push(Told::Word { conn, word: Word::Up });
-        if self.s.fleet.tells_load {
-            out.push(Told::Word { conn, word: Word::Load(load as f64) });
-        }
-        if l.change_s.us() > 0 {
-            self.due.at(now + change.max(50_000), Due::Changes(conn));
-        }
-    }
-
-    fn changes(&mut self, conn: ConnNo, out: &mut Vec<Told>) {
-        let Some(c) = self.conns.get(&conn) else { return };
-        let (server, relay) = (c.server, c.relay);
-        self.advance(server, out);
-        let Some(c) = self.conns.get_mut(&conn) else { return };
-        let l = &self.s.listeners[c.listener];
-        let load = (c.usual * self.rng.about_one(l.swing_sigma.0) * unit(&self.s) as f64) as Cores;
-        let before = std::mem::replace(&mut c.load, load);
-        let n = &mut self.nodes[server];
-        n.asks[relay] = (n.asks[relay] + load).saturating_sub(before);
-        let told = n.knows[relay];
-        n.server.ask(load, before, told);
-        let change = self.rng.wait(l.change_s.us() as f64) as Micros;
-        self.due.at(self.now + change.max(50_000), Due::Changes(conn));
-        if self.s.fleet.tells_load && self.speaks(server, relay) {
-            out.push(Told::Word { conn, word: Word::Load(load as f64) });
-        }
-    }
-
-    /// A late server says so once a second, on one connection of each relay.
-    fn tell_delay(&mut self, server: usize, out: &mut Vec<Told>) {
-        let keenest = self.s.listeners.iter().map(|l| l.message_target_ms.us()).min().unwrap_or(0);
-        let n = &self.nodes[server];
-        let delay = n.server.delay(self.now);
-        if !self.s.fleet.tells_delay || n.server.life != Life::Up || delay <= keenest / 3 {
-            return;
-        }
-        let mut told = vec![false; n.asks.len()];
-        for conn in &n.conns {
-            let c = &self.conns[conn];
-            if c.open && !std::mem::replace(&mut told[c.relay], true) && self.speaks(server, c.relay) {
-                out.push(Told::Word { conn: *conn, word: Word::Load((delay as f64 / 1e3).round()) });
-            }
-            if told.iter().all(|t| *t) {
-                break;
-            }
-        }
-    }
-
-    /// The relay has ended a connection, or its sending on it.
-    pub fn closed(&mut self, now: Micros, conn: ConnNo, out: &mut Vec<Told>) {
-        self.now = self.now.max(now);
-        let Some(server) = self.conns.get(&conn).map(|c| c.server) else { return };
-        self.advance(server, out);
-        self.drop_conn(conn);
-    }
-
-    /// A probe has come: when it is answered, and with what.
-    pub fn probed(
-        &mut self,
-        now: Micros,
-        server: usize,
-        relay: usize,
-        out: &mut Vec<Told>,
-    ) -> (Micros, Figures) {
-        self.now = self.now.max(now);
-        let now = self.now;
-        self.advance(server, out);
-        self.counts.probes += 1;
-        let work = self.s.fleet.probe_ms.us() * CORE;
-        let n = &mut self.nodes[server];
-        let told = n.knows[relay];
-        let done = n.server.done(now, work);
-        let fell = n.server.burst(now, work, told);
-        while n.reports.len() > 1 && n.reports[1].0 <= now {
-            n.reports.pop_front();
-        }
-        let figures = n.reports.front().map(|r| r.1).unwrap_or_default();
-        if fell {
-            self.fell(server, out);
-        }
-        (done, figures)
-    }
-
     /// A relay has been told of servers by the list: what it sends to a cold one counts as known from now on.
     pub fn told(&mut self, now: Micros, relay: usize, servers: &[usize], out: &mut Vec<Told>) {
         self.now = self.now.max(now);
@@ -622,111 +451,6 @@
         }
     }
 
-    fn act(&mut self, act: Act, out: &mut Vec<Told>) {
-        let now = self.now;
-        match act {
-            Act::Dies { server, silent, until } => self.dies(server, silent, until, out),
-            Act::Starts { server } => self.starts(server, out),
-            Act::Slows { server, trouble, times } => {
-                self.advance(server, out);
-                let n = &mut self.nodes[server];
-                n.slows.insert(trouble, times);
-                let all: f64 = n.slows.values().product();
-                n.server.slower = (all * CORE as f64) as u64;
-            }
-            Act::Stands { server, stands } => {
-                self.advance(server, out);
-                self.nodes[server].server.stands = stands.then_some(now);
-            }
-            Act::Fails { server, part } => self.nodes[server].fails = part,
-            Act::ReportsLate { server, by } => self.nodes[server].late = by,
-            Act::Lies { server, times } => self.nodes[server].lies = times,
-            Act::Wire { server, fault, part } => {
-                self.nodes[server].wire = fault.map(|fault| (fault, part));
-                out.push(Told::Reach { server });
-            }
-            Act::Drains { server } => {
-                let n = &mut self.nodes[server];
-                if n.server.life != Life::Up || n.server.draining {
-                    return;
-                }
-                n.server.draining = true;
-                let (length, count) = (self.s.fleet.drain_s.us(), n.conns.len().max(1) as u64);
-                // Clients are sent away once the list may have told of it.
-                let from = now + self.s.list.notice_s[1].us();
-                for (i, conn) in n.conns.iter().enumerate() {
-                    let after = match self.s.fleet.drains {
-                        Drains::BitByBit => length * i as u64 / count,
-                        Drains::AtOnce => 0,
-                    };
-                    self.due.at(from + after, Due::SentAway(*conn));
-                }
-                self.notice_later(server, self.s.list.notice_s.map(|t| t.us()));
-            }
-            Act::Cut { zone, cut } => {
-                self.cut[zone] = cut;
-                (0..self.nodes.len()).for_each(|server| out.push(Told::Reach { server }));
-            }
-            Act::StoreSlows { times } => self.store_times = times,
-            Act::Overrun { server, cores } => {
-                self.advance(server, out);
-                let n = &mut self.nodes[server];
-                let asked = (cores * CORE as f64) as Cores;
-                // Nobody who was told of its start sends this.
-                n.server.ask(asked, std::mem::replace(&mut n.overrun, asked), false);
-            }
-            Act::ListLate { by } => self.list_late = by,
-            Act::ListDown { down } => out.push(Told::ListDown { down }),
-            Act::Mark { text } => out.push(Told::Log(text)),
-            act @ (Act::Rate { .. } | Act::Reconnect { .. } | Act::Relay { .. }) => out.push(Told::Act(act)),
-        }
-    }
-
-    fn dies(&mut self, server: usize, silent: bool, until: Micros, out: &mut Vec<Told>) {
-        self.advance(server, out);
-        let n = &mut self.nodes[server];
-        n.down_until = n.down_until.max(if until == 0 { Micros::MAX } else { until });
-        if n.server.life != Life::Up {
-            return;
-        }
-        n.server.life = if silent { Life::Silent } else { Life::Down };
-        let id = &self.book.plates[server].id;
-        out.push(Told::Log(format!("{id} {}", if silent { "vanishes" } else { "dies" })));
-        if !silent {
-            self.lose(server, out);
-        }
-        out.push(Told::Reach { server });
-        let within = if silent { self.s.list.silent_notice_s } else { self.s.list.notice_s };
-        self.notice_later(server, within.map(|t| t.us()));
-    }
-
-    fn starts(&mut self, server: usize, out: &mut Vec<Told>) {
-        let n = &mut self.nodes[server];
-        // Two troubles may meet one server: it is back when the later one is over. Who fell over stays down.
-        if self.now < n.down_until || matches!(n.server.life, Life::Up | Life::Fallen) {
-            return;
-        }
-        n.server.advance(self.now);
-        self.lose(server, out);
-        let n = &mut self.nodes[server];
-        // A whole millisecond, as the list tells it.
-        let now = self.now;
-        n.server.start(now);
-        n.server.came_up = now / 1000 * 1000;
-        n.knows.fill(false);
-        n.asks.fill(0);
-        n.groups.clear();
-        n.reports = VecDeque::from([(now, Figures::default())]);
-        if n.overrun > 0 {
-            let asked = n.overrun;
-            n.server.ask(asked, 0, false);
-        }
-        self.due.at(now, Due::Cold(server));
-        out.push(Told::Log(format!("{} starts cold", self.book.plates[server].id)));
-        out.push(Told::Reach { server });
-        self.notice_later(server, self.s.list.add_s.map(|t| t.us()));
-    }
-
     /// For the service figure: open sessions by listener, and how long a message takes; none where nobody is
     /// heard.
     pub fn serves(&mut self, now: Micros, server: usize, out: &mut Vec<Told>) -> (Option<Micros>, &[u32]) {
@@ -764,9 +488,9 @@
 }
 
 fn unit(s: &Scenario) -> Cores {
-    (CORE as f64 / s.fleet.per_core.0) as Cores
+    (CORE as f64 / s.servers.per_core.0) as Cores
 }
 
 fn group_cost(s: &Scenario) -> Cores {
-    (unit(s) as f64 * s.fleet.group_cost.0) as Cores
+    (unit(s) as f64 * s.servers.group_cost.0) as Cores
 }
--- a/emulator/src/service.rs
+++ b/emulator/src/service.rs
@@ -1,8 +1,9 @@
 //! What the day was: seconds asked for and well served, samples for the page, and the service figure.
 use crate::audit::{Audit, Breach};
+use crate::beliefs::FleetOutcome;
 use crate::clients::Clients;
-use crate::fleet::{Fleet, Told};
 use crate::script;
+use crate::servers::{Servers, Told};
 use hallrelay::types::Micros;
 use hallrelay_config::scenario::Scenario;
 use serde::{Deserialize, Serialize};
@@ -95,6 +96,9 @@
     pub relays: Vec<RelayFigures>,
     pub late_ms: f64,
     pub bad_clients: BadFigures,
+    /// What the relays believed of each other, where they know each other.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub fleet: Option<FleetOutcome>,
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -167,7 +171,7 @@
     }
 
     /// Counts the time since the last tick.
-    pub fn tick(&mut self, now: Micros, fleet: &mut Fleet, clients: &Clients, out: &mut Vec<Told>) {
+    pub fn tick(&mut self, now: Micros, servers: &mut Servers, clients: &Clients, out: &mut Vec<Told>) {
         if now <= self.at {
             return;
         }
@@ -175,8 +179,8 @@
         self.at = now;
         let listeners = self.asked.len();
         let mut good = vec![0u32; listeners];
-        for server in 0..fleet.len() {
-            let (delay, open) = fleet.serves(now, server, out);
+        for server in 0..servers.len() {
+            let (delay, open) = servers.serves(now, server, out);
             let Some(delay) = delay else { continue };
             for l in 0..listeners {
                 good[l] += if delay <= self.targets[l] { open[l] } else { 0 };
@@ -213,7 +217,7 @@
                 failed: clients.counts.iter().map(|c| c.failed + c.closed + c.unanswered).sum(),
                 moves: clients.moves,
                 breaks: clients.breaks,
-                loads: (0..fleet.len()).map(|server| fleet.load(server) as f32).collect(),
+                loads: (0..servers.len()).map(|server| servers.load(server) as f32).collect(),
             });
         }
     }
@@ -222,7 +226,7 @@
         &self,
         s: &Scenario,
         seed: u64,
-        fleet: &Fleet,
+        servers: &Servers,
         clients: &Clients,
         audit: &Audit,
     ) -> Outcome {
@@ -238,11 +242,11 @@
         let worst_listener = each.clone().fold(1.0, f64::min);
         let first: u64 = clients.counts.iter().map(|c| c.first_tries).sum();
         let a_try = |count: u64| count as f64 / first.max(1) as f64;
-        let wasted = fleet.counts.wasted as f64 / (fleet.worked() as f64).max(1.0);
+        let wasted = servers.counts.wasted as f64 / (servers.worked() as f64).max(1.0);
         let g = &s.goal;
         let prices = g.price_move.0 * a_try(clients.moves)
-            + g.price_probe.0 * a_try(fleet.counts.probes)
-            + g.price_handshake.0 * a_try(fleet.counts.dials)
+            + g.price_probe.0 * a_try(servers.counts.probes)
+            + g.price_handshake.0 * a_try(servers.counts.dials)
             + g.price_waste.0 * wasted;
         let parts = [(g.whole, whole), (g.worst_window, worst_window), (g.worst_listener, worst_listener)];
         let listeners = s.listeners.iter().enumerate().zip(each).map(|((l, listener), service)| {
@@ -281,8 +285,8 @@
             listeners: listeners.collect(),
             moves: clients.moves,
             breaks: clients.breaks,
-            dials: fleet.counts.dials,
-            probes: fleet.counts.probes,
+            dials: servers.counts.dials,
+            probes: servers.counts.probes,
             wasted,
             most_open: self.most_open,
             cold_falls: audit.falls,
@@ -292,7 +296,7 @@
             troubles: bands.collect(),
             log: self.log.clone(),
             samples: self.samples.clone(),
-            servers: fleet.book.plates.iter().map(|p| p.id.clone()).collect(),
+            servers: servers.book.plates.iter().map(|p| p.id.clone()).collect(),
             ..Outcome::default()
         }
     }
--- a/fleet/src/membership/hear.rs
+++ b/fleet/src/membership/hear.rs
@@ -1,5 +1,5 @@
 //! What is made of what others say.
-use super::{Effect, Member, Membership, Suspicion, CHECKS, CONFIRMED, HEALTH, MOST, REFUTE};
+use super::{Effect, Member, Membership, Suspicion, CHECKS, CONFIRMED, HEALTH, MET, MOST, REFUTE};
 use crate::member::{weigh, Act, Claim, Order, Rank, State};
 use crate::message::{Body, Fault, Packet};
 use crate::Micros;
@@ -142,19 +142,14 @@
             self.probes.retain(|_, p| p.name != name);
         }
         self.news(&claim);
-        let by = claim.by.as_deref().unwrap_or("?");
-        let word = match act {
-            Act::Accuse => {
-                self.suspected(claim, out);
-                return;
-            }
-            Act::Bury => format!("relay {name} is gone, says {by}"),
-            Act::Part => format!("relay {name} has left"),
-            Act::Welcome if !was_there => format!("relay {name} is back"),
-            Act::Welcome if before.rank.start != claim.rank.start => format!("relay {name} has restarted"),
-            _ => return,
-        };
-        out.push(Effect::Note { what: word });
+        let again = before.rank.start != claim.rank.start;
+        if act == Act::Accuse {
+            return self.suspected(claim, out);
+        }
+        if !was_there || !is_there || again {
+            let Claim { state, by, .. } = claim;
+            out.push(Effect::Found { name, state, by, again });
+        }
     }
 
     /// One that was not known: only who may be there becomes a member.
@@ -173,7 +168,7 @@
         self.members.insert(name.clone(), member);
         self.enter(&name);
         self.news(&claim);
-        out.push(Effect::Note { what: format!("relay {name} at {} is known", claim.addr) });
+        out.push(Effect::Found { name: name.clone(), state: State::Alive, by: None, again: false });
         if claim.state == State::Suspect {
             self.suspected(claim, out);
         }
@@ -181,6 +176,10 @@
 
     /// It is probed in this round still, at a moment of its own.
     fn enter(&mut self, name: &Rc<str>) {
+        if self.there.is_empty() {
+            // Guards those whom a newcomer learns of before they learn of it: a stranger has no answer.
+            self.next_probe = self.next_probe.max(self.now + MET);
+        }
         self.there.push(name.clone());
         let at = self.below(self.round.len() + 1);
         self.round.insert(at, name.clone());
--- a/fleet/src/membership/mod.rs
+++ b/fleet/src/membership/mod.rs
@@ -50,6 +50,8 @@
 const KNOCK: Micros = 2_000 * MS;
 /// A relay that knows nobody asks the configured addresses for the table this often.
 const JOIN: Micros = 1_000 * MS;
+/// From meeting the first others till it probes: news of it is with all of 300 by then, twice over.
+const MET: Micros = 2_000 * MS;
 /// So many of them at a time.
 const JOINED: usize = 2;
 /// The whole table is exchanged with one other so often for each member: what it costs in bytes each second
@@ -143,6 +145,13 @@
     Alarm {
         after: Micros,
     },
+    /// A member is there, gone or left from now on; `again` where its process has started anew.
+    Found {
+        name: Rc<str>,
+        state: State,
+        by: Option<Rc<str>>,
+        again: bool,
+    },
     /// Something for the log, out of the ordinary.
     Note {
         what: String,
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,6 +1,8 @@
 //! The laboratory: scenarios played on sockets with real relays, or in virtual time with their reducers.
 pub mod cost;
+pub mod fleet;
 pub mod keys;
+pub mod members;
 pub mod pairs;
 pub mod relays;
 pub mod report;
--- a/lab/src/relays.rs
+++ b/lab/src/relays.rs
@@ -36,7 +36,12 @@
 
 impl Process {
     /// Starts a relay with a configuration's file; what it logs goes behind what is in a file already.
-    pub fn start(program: &Program, config: &Path, log: &Path) -> Result<Process, String> {
+    pub fn start(
+        program: &Program,
+        config: &Path,
+        log: &Path,
+        meets: Option<&Path>,
+    ) -> Result<Process, String> {
         let told = |e: std::io::Error| format!("{}: {e}", log.display());
         let log = std::fs::OpenOptions::new().create(true).append(true).open(log).map_err(told)?;
         let mut command = program.command()?;
@@ -44,6 +49,11 @@
         for name in ["NODE_CONFIG", "NODE_NAME", "NODE_LISTEN", "NODE_DISCOVERY", "NODE_OPERATOR"] {
             command.env_remove(name);
         }
+        // Where processes of one relay meet, if they are to.
+        match meets {
+            Some(folder) => command.env("TMPDIR", folder),
+            None => command.env_remove("TMPDIR"),
+        };
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).kill_on_drop(true);
         // An interrupt from the keyboard is the laboratory's to hear; it ends them itself.
         command.process_group(0);
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -1,4 +1,5 @@
 //! What a run was, in ten lines of text and as one page.
+use crate::fleet;
 use hallrelay_emulator::service::{Outcome, Sample};
 use plotters::prelude::*;
 use std::fmt::Write;
@@ -66,6 +67,9 @@
             b.came, b.answered, b.left_waiting
         );
     }
+    if let Some(fleet) = &o.fleet {
+        fleet::text(fleet, &mut t);
+    }
     if o.breaches_in_all == 0 {
         _ = writeln!(t, "rules: all four kept over {} sessions", o.sessions_seen);
     } else {
@@ -166,6 +170,9 @@
         );
     }
     p += "</table>";
+    if let Some(fleet) = &o.fleet {
+        p += &fleet::page(o, fleet);
+    }
     if !o.breaches.is_empty() {
         p += "<h2 class=\"bad\">Broken rules</h2>";
         for b in &o.breaches {
@@ -189,7 +196,7 @@
     Ok(p)
 }
 
-fn safe(text: &str) -> String {
+pub(crate) fn safe(text: &str) -> String {
     text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;").replace('"', "&quot;")
 }
 
--- /dev/null
+++ b/lab/src/virt/list.rs
@@ -0,0 +1,62 @@
+//! The list service and the relays' watches on it.
+use super::*;
+
+impl Virtual<'_> {
+    pub(super) fn tells(&mut self, relay: usize, watch: u32, todo: &mut Todo) {
+        let way = self.way();
+        if self.day.list_cut[relay] {
+            return; // told once the way is whole again
+        }
+        let book = &self.day.servers.book;
+        let Some(w) = self.relays[relay].watches.iter_mut().find(|w| w.id == watch) else { return };
+        let servers = w.since.map_or_else(|| book.whole(), |since| book.since(since));
+        let whole = w.since.is_none();
+        (w.since, w.speaks) = (Some(book.generation), true);
+        let instance = |&i: &usize| Instance {
+            id: book.plates[i].id.clone(),
+            addr: addr(i),
+            zone: book.plates[i].zone.clone(),
+            cell: book.plates[i].cell,
+            phase: book.entry(i).phase,
+            came_up: book.entry(i).came_up,
+        };
+        let instances = servers.iter().map(instance).collect();
+        let list = List { generation: book.generation, whole, instances };
+        if whole {
+            // What a whole list leaves out is gone.
+            let gone: Vec<usize> = (0..self.day.servers.len())
+                .filter(|&i| self.day.servers.book.entry(i).phase == Phase::Gone)
+                .collect();
+            self.day.list_told(self.now, relay, &gone, &mut todo.told);
+        }
+        self.day.list_told(self.now, relay, &servers, &mut todo.told);
+        self.tell(relay, way, Event::List { watch, list });
+    }
+
+    pub(super) fn list_news(&mut self) {
+        for relay in 0..self.relays.len() {
+            if self.day.list_cut[relay] {
+                // Nothing comes any more, and after a while that is noticed.
+                let silent = self.relays[relay].limits.discovery_silence;
+                for watch in std::mem::take(&mut self.relays[relay].watches) {
+                    self.tell(relay, silent, Event::ListBroken { watch: watch.id });
+                }
+                continue;
+            }
+            let life = self.relays[relay].life;
+            let speaking = self.relays[relay].watches.iter().filter(|w| w.speaks);
+            let ids: Vec<u32> = speaking.map(|w| w.id).collect();
+            ids.into_iter().for_each(|watch| self.later(0, Ev::Tells { relay, life, watch }));
+        }
+    }
+
+    pub(super) fn break_watches(&mut self) {
+        let way = self.way();
+        for relay in 0..self.relays.len() {
+            for watch in std::mem::take(&mut self.relays[relay].watches) {
+                self.day.audit.call_failed(relay);
+                self.tell(relay, way, Event::ListBroken { watch: watch.id });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/virt/sessions.rs
@@ -0,0 +1,315 @@
+//! What clients, relays and servers say to each other of sessions, as sockets would carry it.
+use super::*;
+
+impl Virtual<'_> {
+    pub(super) fn does(&mut self, does: Does) {
+        let way = self.client_way();
+        match does {
+            Does::Opens(ask) => {
+                self.asks.insert(ask.mark, ask.clone());
+                self.later(way, Ev::Line(Box::new(ask)));
+            }
+            Does::Leaves { mark } => {
+                self.day.audit.left(self.now, mark);
+                let Some(ask) = self.asks.remove(&mark) else { return };
+                let r = &self.relays[ask.relay];
+                if let Some(&sess) = r.marks.get(&mark) {
+                    let (relay, life) = (ask.relay, r.life);
+                    self.later(way, Ev::Gone { relay, life, sess });
+                }
+            }
+        }
+    }
+
+    /// A client's line comes to its relay.
+    pub(super) fn line(&mut self, ask: Ask) {
+        let relay = ask.relay;
+        if !self.asks.contains_key(&ask.mark) {
+            return; // left on the way
+        }
+        if self.relays[relay].mind.is_none() {
+            return self.client(ask.mark, Heard::Unreached, 0);
+        }
+        let sent = self.now - self.client_way();
+        self.day.audit.asked(sent, ask.mark, relay, ask.listener, ask.wait, ask.at.is_some());
+        let r = &mut self.relays[relay];
+        r.last = r.last.wrapping_add(1);
+        let sess = r.last;
+        let mark = ask.mark;
+        r.marks.insert(mark, sess);
+        let line = Line { mark, dials: 0, conn: None, open: false, doubted: false, over: false };
+        r.lines.insert(sess, line);
+        let margin = r.limits.answer_margin;
+        let open = Open {
+            id: mark,
+            listener: self.day.s.listeners[ask.listener].name.clone(),
+            key: ask.key,
+            group: ask.group,
+            returned: ask.again,
+            wait_ms: ask.wait / 1000,
+            at: ask.at.map(|server| self.day.servers.book.plates[server].id.clone()),
+            ..Open::default()
+        };
+        let left = ask.wait.saturating_sub(margin + self.client_way());
+        self.step(relay, Event::Came { conn: sess });
+        self.step(relay, Event::Opened { sess, open, left });
+    }
+
+    /// A client hears its last word, or `UP`.
+    pub(super) fn client(&mut self, mark: u64, heard: Heard, receipt: u64) {
+        let answer = match heard {
+            Heard::Up => Some(Answer::Up(receipt)),
+            Heard::Busy(_) => Some(Answer::Busy),
+            Heard::Failed => Some(Answer::Failed),
+            Heard::Closed => Some(Answer::Closed),
+            Heard::Moved | Heard::Bye | Heard::Unreached => None,
+        };
+        let open = heard != Heard::Up && self.is_open(mark);
+        if let Some(answer) = answer.filter(|_| !open) {
+            self.day.audit.answered(self.now, mark, &answer);
+        }
+        if !self.day.clients.is_there(mark) {
+            return;
+        }
+        self.day.clients.heard(self.now, mark, heard);
+        if heard != Heard::Up {
+            self.day.audit.left(self.now, mark);
+            if let Some(ask) = self.asks.remove(&mark) {
+                let r = &self.relays[ask.relay];
+                if let Some(&sess) = r.marks.get(&mark) {
+                    let (relay, life) = (ask.relay, r.life);
+                    let way = self.client_way();
+                    self.later(way, Ev::Gone { relay, life, sess });
+                }
+            }
+        }
+    }
+
+    /// Whether a client has had its `UP`.
+    pub(super) fn is_open(&self, mark: u64) -> bool {
+        self.day.audit.is_up(mark)
+    }
+
+    /// A client's connection is over at its relay.
+    pub(super) fn gone(&mut self, relay: usize, sess: SessId) {
+        let way = self.way();
+        let Some(line) = self.relays[relay].lines.remove(&sess) else { return };
+        self.relays[relay].marks.remove(&line.mark);
+        self.relays[relay].past.insert(sess, line.mark);
+        if let Some(conn) = line.conn {
+            self.later(way, Ev::Closed { conn });
+        }
+        self.step(relay, Event::Gone { sess });
+    }
+
+    pub(super) fn close_now(&mut self, conn: ConnNo, todo: &mut Todo) {
+        let Some(dial) = self.dials.remove(&conn) else { return };
+        if dial.there {
+            self.day.servers.closed(self.now, conn, &mut todo.told);
+            self.day.audit.dial_over(self.now, dial.mark, dial.server, DialOver::Ran);
+        }
+    }
+
+    /// A session's last word from its relay; a dial that is out for it is given up.
+    pub(super) fn last(&mut self, relay: usize, sess: SessId, heard: Heard) {
+        let (way, client_way) = (self.way(), self.client_way());
+        let Some(line) = self.relays[relay].lines.get_mut(&sess) else { return };
+        line.over = true;
+        let (mark, conn) = (line.mark, line.conn.take());
+        if let Some(conn) = conn {
+            self.later(way, Ev::Closed { conn });
+        }
+        self.later(client_way, Ev::Client { mark, heard, receipt: 0 });
+    }
+
+    pub(super) fn dial(&mut self, relay: usize, sess: SessId, dial: u32, addr: SocketAddr, wait: Micros) {
+        let way = self.way();
+        let (life, server) = (self.relays[relay].life, server_at(addr));
+        let (connect, reach) = (self.relays[relay].limits.connect, self.day.servers.reach(server, relay));
+        let fault = if reach == Reach::Open { self.day.servers.fault(server) } else { None };
+        let r = &mut self.relays[relay];
+        let mark = r.lines.get(&sess).map(|l| l.mark).or(r.past.get(&sess).copied());
+        let Some(mark) = mark else { return };
+        let never = Event::DialEnded { sess, dial, end: DialEnd::Unconnected, report: None };
+        if let Some(line) = r.lines.get_mut(&sess) {
+            line.dials = dial + 1;
+        }
+        match (reach, fault) {
+            (Reach::Refused, _) | (_, Some(Fault::Refused)) => return self.tell(relay, 2 * way, never),
+            (Reach::NeverUp, _) | (_, Some(Fault::NeverUp)) => {
+                return self.tell(relay, wait.min(connect), never);
+            }
+            (Reach::Open, _) => {}
+        }
+        self.next_conn += 1;
+        let conn = self.next_conn;
+        if let Some(line) = self.relays[relay].lines.get_mut(&sess) {
+            line.conn = Some(conn);
+        }
+        let mut asked = Dialled { server, relay, ..Dialled::default() };
+        if let Some(ask) = self.asks.get(&mark) {
+            (asked.listener, asked.key, asked.group) = (ask.listener, ask.key, ask.group);
+            (asked.standing, asked.life) = (ask.at.is_some(), ask.bye);
+        }
+        let d = Dial { relay, life, sess, dial, mark, server, ask: asked, there: false, up: false, fault };
+        self.dials.insert(conn, d);
+        // There and back to connect, and there with the line.
+        self.later(3 * way, Ev::Dialled { conn });
+        self.later(wait, Ev::TimesOut { relay, life, sess, dial });
+    }
+
+    pub(super) fn dialled(&mut self, conn: ConnNo, todo: &mut Todo) {
+        let way = self.way();
+        let Some(d) = self.dials.get_mut(&conn) else { return };
+        let (relay, server, mark) = (d.relay, d.server, d.mark);
+        let open = self.day.servers.reach(server, relay) == Reach::Open;
+        if !open || matches!(d.fault, Some(Fault::ResetBefore | Fault::ResetAfter)) {
+            if open && d.fault == Some(Fault::ResetAfter) {
+                self.day.audit.dialled(self.now, self.now, mark, server, relay);
+                self.day.audit.dial_over(self.now, mark, server, DialOver::Ran);
+            }
+            return self.dial_ends(conn, way, DialEnd::Reset);
+        }
+        d.there = true;
+        let (ask, fault) = (d.ask.clone(), d.fault);
+        self.day.audit.dialled(self.now, self.now, mark, server, relay);
+        if !matches!(fault, Some(Fault::Silence | Fault::HalfLine)) {
+            self.day.servers.dialled(self.now, conn, &ask, &mut todo.told);
+        }
+    }
+
+    /// A dial ends before it is up.
+    pub(super) fn dial_ends(&mut self, conn: ConnNo, after: Micros, end: DialEnd) {
+        let Some(d) = self.dials.remove(&conn) else { return };
+        let r = &mut self.relays[d.relay];
+        let Some(line) = r.lines.get_mut(&d.sess) else { return };
+        if r.life == d.life && line.conn == Some(conn) {
+            line.conn = None;
+            let (sess, dial) = (d.sess, d.dial);
+            self.tell(d.relay, after, Event::DialEnded { sess, dial, end, report: None });
+        }
+    }
+
+    pub(super) fn told(&mut self, told: Told, todo: &mut Todo) {
+        let way = self.way();
+        match told {
+            Told::Word { conn, word } => self.word(conn, word),
+            Told::Reset { conn } => {
+                let Some(d) = self.dials.get(&conn) else { return };
+                let (mark, server, up) = (d.mark, d.server, d.up);
+                self.day.audit.dial_over(self.now, mark, server, DialOver::Ran);
+                if up {
+                    self.open_ends(conn, way, DialEnd::Reset);
+                } else {
+                    self.dial_ends(conn, way, DialEnd::Reset);
+                }
+            }
+            Told::Reach { server } => {
+                for relay in 0..self.relays.len() {
+                    if self.day.servers.reach(server, relay) != Reach::NeverUp {
+                        continue;
+                    }
+                    let there = |conn: Option<ConnNo>| {
+                        conn.and_then(|c| self.dials.get(&c)).is_some_and(|d| d.server == server)
+                    };
+                    let lines = self.relays[relay].lines.iter();
+                    let open: Vec<SessId> =
+                        lines.filter(|(_, l)| l.open && there(l.conn)).map(|(s, _)| *s).collect();
+                    open.into_iter().for_each(|sess| self.may_be_silent(relay, sess));
+                }
+            }
+            other => todo.told.push(other),
+        }
+    }
+
+    /// A server's word comes to the relay.
+    pub(super) fn word(&mut self, conn: ConnNo, word: Word) {
+        let way = self.way();
+        let Some(d) = self.dials.get(&conn) else { return };
+        let (relay, life, sess, dial, mark, server, up) =
+            (d.relay, d.life, d.sess, d.dial, d.mark, d.server, d.up);
+        let heard = self.day.servers.speaks(server, relay);
+        let alive = self.relays[relay].life == life;
+        let mine = alive && self.relays[relay].lines.get(&sess).is_some_and(|l| l.conn == Some(conn));
+        let over = match word {
+            Word::Busy => Some(DialOver::Never),
+            Word::Err | Word::Bye | Word::Move => Some(DialOver::Ran),
+            Word::Up | Word::Load(_) => None,
+        };
+        if let Some(over) = over {
+            self.day.audit.dial_over(self.now, mark, server, over);
+        }
+        if word == Word::Up {
+            self.day.audit.up_said(self.now, mark, server, conn);
+        }
+        if !mine || !heard {
+            return;
+        }
+        match word {
+            Word::Up => self.tell(relay, way, Event::Up { sess, dial }),
+            // Nine of ten lines: told at once, as a way of their own would change nothing but the time it takes.
+            Word::Load(load) if up => self.step(relay, Event::Load { sess, load }),
+            Word::Load(load) => self.tell(relay, way, Event::Load { sess, load }),
+            Word::Busy => self.dial_ends(conn, way, DialEnd::Full),
+            Word::Err => self.dial_ends(conn, way, DialEnd::Error),
+            Word::Bye if up => self.open_ends(conn, way, DialEnd::Ok),
+            Word::Move if up => self.open_ends(conn, way, DialEnd::Recalled),
+            Word::Move => self.dial_ends(conn, way, DialEnd::Recalled),
+            Word::Bye => {
+                self.dial_ends(conn, way, DialEnd::Ok);
+                let client_way = self.client_way();
+                self.later(way + client_way, Ev::Client { mark, heard: Heard::Bye, receipt: 0 });
+            }
+        }
+    }
+
+    /// An open session ends at its server's side; its client hears why.
+    pub(super) fn open_ends(&mut self, conn: ConnNo, after: Micros, end: DialEnd) {
+        let Some(d) = self.dials.remove(&conn) else { return };
+        let client_way = self.client_way();
+        let r = &mut self.relays[d.relay];
+        let Some(line) = r.lines.get_mut(&d.sess) else { return };
+        if r.life != d.life || line.conn != Some(conn) {
+            return;
+        }
+        line.over = true;
+        self.tell(d.relay, after, Event::Ended { sess: d.sess, end, report: None });
+        let heard = if end == DialEnd::Ok { Heard::Bye } else { Heard::Moved };
+        self.later(after + client_way, Ev::Client { mark: d.mark, heard, receipt: 0 });
+    }
+
+    /// When an open session on a silent server will find out: a message of its own waits too long.
+    pub(super) fn may_be_silent(&mut self, relay: usize, sess: SessId) {
+        let Some(line) = self.relays[relay].lines.get(&sess).filter(|l| l.open) else { return };
+        let Some(conn) = line.conn else { return };
+        let Some(d) = self.dials.get(&conn) else { return };
+        if self.day.servers.speaks(d.server, relay) {
+            return;
+        }
+        let limits = &self.relays[relay].limits;
+        let patience = if line.doubted { limits.probe } else { limits.silence };
+        let period = self.day.s.clients.message_s.us();
+        // Clients speak each period, at a moment of their own.
+        let phase = mix(line.mark) % period;
+        let next = self.now + (phase + period - self.now % period) % period;
+        let life = self.relays[relay].life;
+        // One that is doubted may have a message that waits already.
+        let waits = if line.doubted { next.saturating_sub(period).max(self.now) } else { next };
+        self.queue.at(waits + patience, Ev::Silent { relay, life, sess, conn });
+    }
+
+    pub(super) fn silent(&mut self, relay: usize, sess: SessId, conn: ConnNo) {
+        let Some(line) = self.relays[relay].lines.get(&sess) else { return };
+        let Some(server) = self.dials.get(&conn).map(|d| d.server) else { return };
+        if !line.open || line.conn != Some(conn) || self.day.servers.speaks(server, relay) {
+            return;
+        }
+        let (way, client_way, mark) = (self.way(), self.client_way(), line.mark);
+        self.later(way, Ev::Closed { conn });
+        if let Some(line) = self.relays[relay].lines.get_mut(&sess) {
+            (line.open, line.over, line.conn) = (false, true, None);
+        }
+        self.step(relay, Event::Ended { sess, end: DialEnd::Reset, report: None });
+        self.later(client_way, Ev::Client { mark, heard: Heard::Moved, receipt: 0 });
+    }
+}
--- a/relay/src/cli.rs
+++ b/relay/src/cli.rs
@@ -93,7 +93,9 @@
 pub fn run(what: What) -> Result<u8, String> {
     match what {
         What::Fleet { what: FleetWhat::Status { at, json } } => {
-            let status = match status::ask(at) {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+            let runtime = runtime.map_err(|e| format!("the runtime does not start: {e}"))?;
+            let status = match runtime.block_on(status::ask(at)) {
                 Ok(status) => status,
                 Err(why) => {
                     eprintln!("hallrelay: {why}");
--- a/relay/src/net/serve.rs
+++ b/relay/src/net/serve.rs
@@ -232,7 +232,7 @@
                         Told::Visit { to, bytes } => links.visit(to, bytes),
                         Told::Answer { stream, bytes } => links.answer(stream, bytes),
                         // These are the reducer's own by now.
-                        Told::Alarm { .. } | Told::Note { .. } => {}
+                        Told::Alarm { .. } | Told::Note { .. } | Told::Found { .. } => {}
                     }
                 }
                 Effect::Note { what } => slog::info!(self.hub.log, "{}", what),
--- a/relay/src/reducer/fleet.rs
+++ b/relay/src/reducer/fleet.rs
@@ -44,6 +44,14 @@
             match one {
                 Told::Alarm { after } => out.push(Effect::Alarm { after, alarm: Alarm::Fleet }),
                 Told::Note { what } => note(what, out),
+                Told::Found { name, state, by, again } => {
+                    let how = match (state, &by) {
+                        (State::Gone, Some(by)) => format!(", says {by}"),
+                        _ if again => ", started anew".to_string(),
+                        _ => String::new(),
+                    };
+                    note(format!("relay {name} is {}{how}", state.word()), out);
+                }
                 other => out.push(Effect::Fleet(other)),
             }
         }
--- a/relay/src/status.rs
+++ b/relay/src/status.rs
@@ -15,10 +15,8 @@
 const MOST: usize = 4 << 20;
 
 /// A call of the second address; its status and body.
-pub fn call(at: SocketAddr, path: &'static str) -> Result<(StatusCode, Bytes), String> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.map_err(|e| format!("the runtime does not start: {e}"))?;
-    let asked = async move {
+async fn call(at: SocketAddr, path: &'static str) -> Result<(StatusCode, Bytes), String> {
+    let asked = async {
         let stream = TcpStream::connect(at).await.map_err(|e| e.to_string())?;
         let (mut sender, connection) =
             http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
@@ -35,22 +33,26 @@
             Err(e) = connection => Err(e.to_string()),
         }
     };
-    let bounded = async { tokio::time::timeout(PATIENCE, asked).await };
-    match runtime.block_on(bounded) {
+    match tokio::time::timeout(PATIENCE, asked).await {
         Ok(answer) => answer.map_err(|e| format!("{at}: {e}")),
         Err(_) => Err(format!("{at}: no answer within {} s", PATIENCE.as_secs())),
     }
 }
 
 /// What a relay answers, or why there is no status.
-pub fn ask(at: SocketAddr) -> Result<Status, String> {
-    let (status, body) = call(at, "/v1/fleet")?;
+pub async fn ask(at: SocketAddr) -> Result<Status, String> {
+    let (status, body) = call(at, "/v1/fleet").await?;
     if status != StatusCode::OK {
         return Err(format!("{at}: {}", String::from_utf8_lossy(&body).trim_end()));
     }
     serde_json::from_slice(&body).map_err(|e| format!("{at}: an answer that is no status: {e}"))
 }
 
+/// Whether a relay says that it takes sessions.
+pub async fn ready(at: SocketAddr) -> bool {
+    matches!(call(at, "/v1/readyz").await, Ok((StatusCode::OK, _)))
+}
+
 /// As a table, this relay first.
 pub fn text(s: &Status) -> String {
     let mut t = String::new();
