--- a/fleet/src/membership/hear.rs
+++ b/fleet/src/membership/hear.rs
@@ -7,6 +7,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+/// A member is asked who strangers are at most this often, whoever sends.
+const STRANGERS: Micros = 1_000_000;
 /// A healed way is used for a whole table at most this often.
 const HEAL: Micros = 2_000_000;
 
@@ -21,7 +23,7 @@
         let known = self.by_addr.contains_key(&from) || self.own.peers.contains(&from);
         if !known || own.addr != from {
             *self.counts.dropped.entry(Fault::Stranger).or_default() += 1;
-            return;
+            return self.ask_about_strangers();
         }
         let name = own.name.clone();
         self.hear_itself(own, out);
@@ -38,6 +40,15 @@
         }
     }
 
+    /// Guards a relay that met few of a fleet that all started together: the others are strangers to it, so it
+    /// hears none of their news. A member whom it knows tells it who they are; nobody is believed unseen.
+    fn ask_about_strangers(&mut self) {
+        if self.now >= self.asked_about + STRANGERS {
+            self.asked_about = self.now;
+            self.next_exchange = self.next_exchange.min(self.now);
+        }
+    }
+
     /// A relay that asks for the table: a new one becomes known by it, as what it says of its address is what
     /// its connection shows.
     pub(super) fn visited(&mut self, stream: u64, from: SocketAddr, packet: Packet, out: &mut Vec<Effect>) {
@@ -163,7 +174,7 @@
         }
         let name = claim.name.clone();
         let told_by = told_by.cloned();
-        let member = Member { claim: claim.clone(), since: self.now, heard: None, told_by };
+        let member = Member { claim: claim.clone(), since: self.now, heard: None, told_by, heard_by: None };
         self.by_addr.insert(claim.addr, name.clone());
         self.members.insert(name.clone(), member);
         self.enter(&name);
--- a/fleet/src/membership/mod.rs
+++ b/fleet/src/membership/mod.rs
@@ -33,6 +33,9 @@
 /// Each tells an item so many times the (decimal, rounded up) logarithm of the members: memberlist's 4 leaves
 /// less than one in ten thousand untold, and the exchange tells those.
 const TOLD: u32 = 4;
+/// Few as they are: what a bridge between two halves tells goes the wrong way half the time, and four tellings
+/// all did so once in 16 refutals, which buried members on the other side.
+const TOLD_LEAST: u32 = 12;
 /// The least time in which a suspect may refute, and by the logarithm of the members, as its refutal takes
 /// some rounds of `SPREAD` there and back. Lifeguard's most is six times that, less with each confirmation.
 const REFUTE: Micros = 800 * MS;
@@ -167,6 +170,8 @@
     pub heard: Option<Micros>,
     /// Who told of it last, where that was not itself.
     pub told_by: Option<Rc<str>>,
+    /// By whose ping it was heard last, where its own answer did not come.
+    pub heard_by: Option<Rc<str>>,
 }
 
 struct Suspicion {
@@ -251,6 +256,8 @@
     woken: Option<Micros>,
     /// Whom a healed way was used with last, so that it is not used for each that returns.
     healed: Micros,
+    /// When a member was asked last who strangers are.
+    asked_about: Micros,
     twin: Option<(SocketAddr, u64, Micros)>,
     pub counts: Counts,
 }
@@ -286,6 +293,7 @@
             next_forget: Micros::MAX,
             woken: None,
             healed: 0,
+            asked_about: 0,
             twin: None,
             counts: Counts::default(),
         }
--- a/fleet/src/membership/probe.rs
+++ b/fleet/src/membership/probe.rs
@@ -95,7 +95,13 @@
 
     fn ask_others(&mut self, seq: u32, name: &Rc<str>, out: &mut Vec<Effect>) {
         let Some(addr) = self.members.get(name).map(|m| m.claim.addr) else { return };
-        let others = self.some(ASKED, Some(name));
+        let mut others = self.some(ASKED, Some(name));
+        // By whom it was heard last, where the direct way does not go: a bridge between two halves, most likely.
+        let by = self.members.get(name).and_then(|m| m.heard_by.clone());
+        if let Some(by) = by.filter(|by| self.is_there(by) && !others.contains(by)) {
+            others.truncate(ASKED - 1);
+            others.push(by);
+        }
         if let Some(p) = self.probes.get_mut(&seq) {
             p.asked = others.len() as u32;
         }
@@ -127,9 +133,13 @@
     pub(super) fn acked(&mut self, seq: u32, from: &Rc<str>, out: &mut Vec<Effect>) {
         if let Some(p) = self.probes.remove(&seq) {
             self.health = self.health.saturating_sub(1);
-            if p.name != *from {
+            if p.name == *from {
+                if let Some(m) = self.members.get_mut(from) {
+                    m.heard_by = None;
+                }
+            } else {
                 if let Some(m) = self.members.get_mut(&p.name) {
-                    m.told_by = Some(from.clone());
+                    (m.told_by, m.heard_by) = (Some(from.clone()), Some(from.clone()));
                 }
             }
         } else if let Some(errand) = self.errands.remove(&seq) {
--- a/fleet/src/membership/spread.rs
+++ b/fleet/src/membership/spread.rs
@@ -1,15 +1,17 @@
 //! How news gets round: on whatever is said anyway, by itself while it is new, and with the whole table.
-use super::{Effect, Membership, News, EXCHANGE, EXCHANGE_LEAST, FANOUT, JOIN, JOINED, KNOCK, SPREAD, TOLD};
+use super::{
+    Effect, Membership, News, EXCHANGE, EXCHANGE_LEAST, FANOUT, JOIN, JOINED, KNOCK, SPREAD, TOLD, TOLD_LEAST,
+};
 use crate::member::{Claim, State};
 use crate::message::{encode, written, Body, DATAGRAM, FRAME};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 impl Membership {
-    /// How often one item is told by one member.
+    /// How often one item is told by one member: while few are known of many, as for the many.
     fn tellings(&self) -> u32 {
-        let members = self.there.len() + 2;
-        TOLD * (members as f64).log10().ceil() as u32
+        let members = (self.there.len() + 2).max(self.own.configured);
+        (TOLD * (members as f64).log10().ceil() as u32).max(TOLD_LEAST)
     }
 
     pub(super) fn news(&mut self, claim: &Claim) {
@@ -134,6 +136,11 @@
         let at = self.below(gone.len() + unmet.len());
         if let Some(name) = gone.get(at) {
             let addr = self.members[name].claim.addr;
+            // One that has started anew, and whose configured addresses are all dead, knows nobody: to it the
+            // ping is a stranger's. A stream tells it who asks; of all who knock about one does that at a time.
+            if self.below(self.there.len() + 1) == 0 {
+                return self.visit(addr, out);
+            }
             let seq = self.number();
             self.say(addr, Some(&name.clone()), Body::Ping { seq }, out);
         } else if let Some(addr) = unmet.get(at - gone.len()) {
--- /dev/null
+++ b/lab/tests/beliefs.rs
@@ -0,0 +1,136 @@
+//! The auditor of beliefs against relays with a fault planted in them: each fault is found and named, and the
+//! same day with honest relays finds nothing.
+use hallrelay::types::Micros;
+use hallrelay_config::scenario::{self, Scenario};
+use hallrelay_emulator::beliefs::Wrong;
+use hallrelay_emulator::service::Outcome;
+use hallrelay_fleet::message::{decode, encode, written, Body, DATAGRAM};
+use hallrelay_fleet::{Effect as Fleet, Event as Heard, State};
+use hallrelay_lab::{keys, virt};
+use hallrelay_relay::reducer::{Alarm, Effect, Event, Reducer};
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Plant {
+    None,
+    /// Hears neither relay 1 nor what others say of it, and no answers.
+    DeafToOne,
+    /// Concludes nothing, and takes no bad news from others.
+    Credulous,
+    /// Says that it started later than it did.
+    WrongStart,
+    /// Says that it leaves, and does not.
+    SaysItLeaves,
+    /// Hears nobody.
+    Deaf,
+}
+
+/// Relay 0 has the fault.
+struct Double {
+    inner: Reducer,
+    plant: Plant,
+    fleet: String,
+}
+
+const ONE: &str = "relay-1";
+
+impl Double {
+    /// What of an event comes through.
+    fn event(&self, event: Event) -> Option<Event> {
+        match (self.plant, event) {
+            (Plant::Deaf, Event::Fleet(Heard::Heard { .. } | Heard::Returned { .. })) => None,
+            (Plant::DeafToOne, Event::Fleet(Heard::Heard { from, mut packet })) => {
+                packet.news.retain(|claim| *claim.name != *ONE);
+                // Others answer for it.
+                let answers = matches!(packet.body, Body::Ack { .. });
+                (*packet.own.name != *ONE && !answers).then_some(Event::Fleet(Heard::Heard { from, packet }))
+            }
+            (Plant::Credulous, Event::Fleet(Heard::Heard { from, mut packet })) => {
+                packet.news.retain(|claim| claim.state == State::Alive);
+                Some(Event::Fleet(Heard::Heard { from, packet }))
+            }
+            (Plant::Credulous, Event::Fleet(Heard::Returned { .. }) | Event::Alarm(Alarm::Fleet)) => None,
+            (_, event) => Some(event),
+        }
+    }
+
+    fn effect(&self, effect: Effect) -> Effect {
+        let Effect::Fleet(Fleet::Send { to, bytes }) = effect else { return effect };
+        let mut packet = decode(&self.fleet, &bytes, DATAGRAM).expect("its own");
+        match self.plant {
+            Plant::WrongStart => packet.own.rank.start += 1_000_000_000,
+            Plant::SaysItLeaves => packet.own.state = State::Left,
+            _ => return Effect::Fleet(Fleet::Send { to, bytes }),
+        }
+        let news: Vec<Vec<u8>> = packet.news.iter().map(written).collect();
+        let news = news.iter().map(Vec::as_slice);
+        let (bytes, _) = encode(&packet.fleet, &packet.own, packet.body, news, DATAGRAM);
+        Effect::Fleet(Fleet::Send { to, bytes })
+    }
+}
+
+impl virt::Mind for Double {
+    fn start(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        let mut fresh = Vec::new();
+        self.inner.start(now, &mut fresh);
+        out.extend(fresh.into_iter().map(|effect| self.effect(effect)));
+    }
+
+    fn step(&mut self, now: Micros, event: Event, out: &mut Vec<Effect>) {
+        let Some(event) = self.event(event) else { return };
+        let mut fresh = Vec::new();
+        self.inner.step(now, event, &mut fresh);
+        out.extend(fresh.into_iter().map(|effect| self.effect(effect)));
+    }
+}
+
+fn day(more: &str) -> Scenario {
+    let mut text = include_str!("troubles/base.toml").to_string() + more;
+    for (key, value) in [("relays.fleet", "true"), ("relays.count", "5"), ("length_s", "60")] {
+        text = keys::set(&text, key, &keys::values(value).expect("a value")[0]).expect("a key");
+    }
+    scenario::parse("double", &text).expect("a sound scenario")
+}
+
+fn play(s: &Scenario, plant: Plant) -> Outcome {
+    let make: virt::Maker = Box::new(move |node| {
+        let plant = if node.name == "relay-0" { plant } else { Plant::None };
+        let fleet = node.fleet.as_ref().expect("they know each other").name.clone();
+        Box::new(Double { inner: Reducer::new(node, None), plant, fleet })
+    });
+    virt::run(s, s.seed, make, &mut |_| true).expect("it plays")
+}
+
+fn found_by(s: &Scenario, plant: Plant, wrong: Wrong, what: &str) {
+    let honest = play(s, Plant::None).fleet.expect("beliefs");
+    assert_eq!(honest.findings, [], "{plant:?}: the honest relays");
+    let fleet = play(s, plant).fleet.expect("beliefs");
+    let found = fleet.findings.iter().find(|f| f.wrong == wrong && f.what.contains(what));
+    assert!(found.is_some(), "{plant:?}: no {wrong:?} '{what}' in {:?}", fleet.findings);
+}
+
+const KILLED: &str = "\n[[trouble]]\nkind = \"relay-killed\"\nat_s = 5\nlength_s = 50\nrelays = [3]\n";
+
+#[test]
+fn who_calls_one_gone_that_is_there() {
+    found_by(&day(""), Plant::DeafToOne, Wrong::FalselyGone, "neither stopped nor cut off");
+}
+
+#[test]
+fn who_never_learns_of_a_death() {
+    found_by(&day(KILLED), Plant::Credulous, Wrong::NeverLearnt, "has been dead for 20 s");
+}
+
+#[test]
+fn who_says_a_start_that_never_was() {
+    found_by(&day(""), Plant::WrongStart, Wrong::NeverTrue, "never had the start number");
+}
+
+#[test]
+fn who_says_that_it_leaves_and_stays() {
+    found_by(&day(""), Plant::SaysItLeaves, Wrong::NeverTrue, "was never told to stop");
+}
+
+#[test]
+fn who_calls_itself_cut_off_and_is_not() {
+    found_by(&day(""), Plant::Deaf, Wrong::NotCutOff, "hears 1 of 5");
+}
--- a/lab/tests/troubles.rs
+++ b/lab/tests/troubles.rs
@@ -3,8 +3,12 @@
 //!   `# set KEY = VALUE`                          changes a key of the scenario
 //!   `# expect MEASURE < NUMBER [from A to B]`    or `>`; service can be that of some seconds
 //!   `# expect log TEXT`                          a line of the log holds this
-//! Measures: service, refused, failed, moves, breaks, dials, open, cold_falls, starts (of relays).
+//! Measures: service, refused, failed, moves, breaks, dials, open, cold_falls, starts (of relays); of relays
+//! that know each other: findings (beliefs that were wrong), gone (times that one called another so), deaths
+//! (known to one other each), last_known (seconds till the last one knew), damaged (datagrams),
+//! whole_at_end (relays that then call the fleet whole).
 use hallrelay_config::scenario;
+use hallrelay_emulator::beliefs::FleetOutcome;
 use hallrelay_emulator::service::Outcome;
 use hallrelay_lab::{keys, virt};
 use std::path::Path;
@@ -29,11 +33,24 @@
         "dials" => o.dials as f64,
         "open" => f64::from(o.most_open),
         "cold_falls" => f64::from(o.cold_falls),
+        "findings" => fleet(o)?.findings_in_all as f64,
+        "gone" => fleet(o)?.beliefs.iter().filter(|b| b.state == "gone").count() as f64,
+        "deaths" => fleet(o)?.deaths.count as f64,
+        "last_known" => fleet(o)?.deaths.last,
+        "damaged" => fleet(o)?.datagrams[3] as f64,
+        "whole_at_end" => {
+            let last = fleet(o)?.lanes.iter().filter_map(|lane| lane.last());
+            last.filter(|word| word.word == "whole").count() as f64
+        }
         "starts" => o.relays.iter().map(|r| f64::from(r.starts)).sum(),
         other => return Err(format!("unknown measure '{other}'")),
     })
 }
 
+fn fleet(o: &Outcome) -> Result<&FleetOutcome, String> {
+    o.fleet.as_ref().ok_or("the relays know nothing of each other".to_string())
+}
+
 fn expect(o: &Outcome, line: &str) -> Result<(), String> {
     let words: Vec<&str> = line.split_whitespace().collect();
     if let ["log", text @ ..] = &words[..] {
