A relay keeps what it must know across restarts: drains told, cold turns, its start

Need: a relay that crashed went by the configuration's list, dialled whom it had been told to leave, and spent a turn at a cold server with each life. Change: package recovery/ (no I/O): a row for each fact with how old it may be, what outranks it, what holds when its age is unknown since the clock went back; the store runs on a thread of its own, a start waits 2 s for it at most, a dial 20 ms for its turn to be written; it goes with the place at a replacement; hallrelay store inspect, verify, compact, export. Off unless state is configured.

--- a/config/src/limits.rs
+++ b/config/src/limits.rs
@@ -72,6 +72,18 @@
     pub fleet_streams: usize,
     pub fleet_stream: Micros,
     pub fleet_datagrams: u32,
+    /// Bytes of the store; how long a start waits for it, and a dial for what must be written before it.
+    pub state_bytes: u64,
+    pub state_open: Micros,
+    pub state_wait: Micros,
+}
+
+/// Parts that want descriptors of their own.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Uses {
+    pub operator: bool,
+    pub fleet: bool,
+    pub state: bool,
 }
 
 const MS: Micros = 1000;
@@ -88,10 +100,12 @@
     /// Streams of other relays, each way.
     const FLEET_STREAMS: usize = 8;
 
-    pub fn new(site: &Site, sockets: usize, operator: bool, fleet: bool) -> Result<Limits, String> {
-        let own = Self::OWN_SOCKETS + usize::from(operator) * (Self::CALLERS + 1 + Self::DOOR);
+    pub fn new(site: &Site, sockets: usize, uses: Uses) -> Result<Limits, String> {
+        let own = Self::OWN_SOCKETS + usize::from(uses.operator) * (Self::CALLERS + 1 + Self::DOOR);
+        // The lock, the log, the one that is to take its place, the folder.
+        let own = own + usize::from(uses.state) * 4;
         // Two sockets that listen, beside the streams.
-        let own = own + usize::from(fleet) * (2 * Self::FLEET_STREAMS + 2);
+        let own = own + usize::from(uses.fleet) * (2 * Self::FLEET_STREAMS + 2);
         let left = sockets.saturating_sub(own + sockets / Self::PROBE_PART);
         if left < 4 {
             return Err(format!("limits.sockets is {sockets}, wanted {} at least", own * 2));
@@ -164,6 +178,12 @@
             fleet_stream: 2_000 * MS,
             // Some 40 a second come of 300 relays, ten times that while half of them return.
             fleet_datagrams: 5_000,
+            // A server takes some 300 bytes: a hundred thousand of them, twice over.
+            state_bytes: 64 << 20,
+            // A slow disk reads that in as long; service does not wait for more.
+            state_open: 2_000 * MS,
+            // A sync takes some ms; a dial has 50 ms beyond its connect before a drain's grace is over.
+            state_wait: 20 * MS,
             // It is one message within one machine; operators give a new process 6 s in all.
             offer: 2_000 * MS,
             // The next process is there for whoever is moved: nothing is gained by waiting.
--- a/config/src/node.rs
+++ b/config/src/node.rs
@@ -2,10 +2,11 @@
 use crate::at::At;
 use crate::facts::{self, Site};
 use crate::fleet::{self, Fleet};
-use crate::limits::Limits;
+use crate::limits::{Limits, Uses};
 use crate::list::{self, List};
 use serde_json::Value;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 #[derive(Clone, Debug, PartialEq)]
 pub struct Node {
@@ -16,6 +17,8 @@
     pub operator: Option<SocketAddr>,
     /// The other relays; none where this one is to know of none.
     pub fleet: Option<Fleet>,
+    /// The folder in which it keeps what it must know after a restart; none where nothing is kept.
+    pub state: Option<PathBuf>,
     /// Of the settings: the same where these are.
     pub digest: u32,
     pub seed: u64,
@@ -55,6 +58,7 @@
             ("name", self.name != later.name),
             ("listen", self.listen != later.listen),
             ("operator", self.operator != later.operator),
+            ("state", self.state != later.state),
             ("limits", self.sockets != later.sockets),
             ("settings.Discovery", own.must_watch != new.must_watch),
             ("settings.SlotNo", (own.slot, own.zone) != (new.slot, new.zone)),
@@ -62,19 +66,22 @@
         keys.into_iter().chain(fleet).filter(|key| key.1).map(|key| key.0).collect()
     }
 
+    fn uses(&self) -> Uses {
+        Uses { operator: self.operator.is_some(), fleet: self.fleet.is_some(), state: self.state.is_some() }
+    }
+
     /// Takes over other settings, but for what can't change while the program runs.
     pub fn tune(&mut self, mut site: Site) -> Result<(), String> {
         let (own, new) = (&self.site.facts, &mut site.facts);
         (new.must_watch, new.slot, new.zone) = (own.must_watch, own.slot, own.zone);
-        (self.site, self.limits) =
-            fitting(site, self.sockets, self.operator.is_some(), self.fleet.is_some())?;
+        (self.site, self.limits) = fitting(site, self.sockets, self.uses())?;
         Ok(())
     }
 }
 
 /// The limits under some settings, and these within them.
-fn fitting(mut site: Site, sockets: usize, operator: bool, fleet: bool) -> Result<(Site, Limits), String> {
-    let limits = Limits::new(&site, sockets, operator, fleet)?;
+fn fitting(mut site: Site, sockets: usize, uses: Uses) -> Result<(Site, Limits), String> {
+    let limits = Limits::new(&site, sockets, uses)?;
     // C_ID of the design: no more sessions than this machine has descriptors for.
     site.facts.max_open = site.facts.max_open.min(limits.sessions);
     Ok((site, limits))
@@ -125,13 +132,20 @@
     over_0(&settings)?;
     let name = said("name", &told.name)?;
     let fleet = fleet::decode(&top, &name)?;
-    let (site, limits) = fitting(site, sockets, operator.is_some(), fleet.is_some())?;
+    let state = top.option("state").map(|at| match at.text()? {
+        "" => at.wrong("a folder"),
+        path => Ok(PathBuf::from(path)),
+    });
+    let state = state.transpose()?;
+    let uses = Uses { operator: operator.is_some(), fleet: fleet.is_some(), state: state.is_some() };
+    let (site, limits) = fitting(site, sockets, uses)?;
     Ok(Node {
         name,
         listen: addr("listen", &told.listen)?,
         discovery: addr("discovery", &told.discovery)?,
         operator,
         fleet,
+        state,
         digest: fleet::digest(settings.value),
         seed: seed(top.key("seed")?)?,
         known: top.option("known").map_or(Ok(List::default()), |at| list::decode(&at))?,
--- a/lab/src/virt/mod.rs
+++ b/lab/src/virt/mod.rs
@@ -555,6 +555,8 @@
                 Effect::Exit => self.exits(relay),
                 Effect::Pong { .. } | Effect::Deny { .. } | Effect::Reply { .. } => {}
                 Effect::Fleet(effect) => self.fleet(relay, effect),
+                // A virtual relay keeps nothing: its start is as the configuration has it.
+                Effect::Keep { .. } | Effect::Keeping { .. } => {}
                 Effect::Forget { .. } | Effect::Kept { .. } | Effect::Tuned { .. } => {}
                 // A virtual relay is one process all its life, and nobody waits at its socket.
                 Effect::Accept { .. } | Effect::Door { .. } | Effect::Note { .. } => {}
--- a/relay/src/cli.rs
+++ b/relay/src/cli.rs
@@ -1,5 +1,6 @@
 //! The command line, for `hallrelay` itself and for programs that start a relay of their own.
 use crate::net::serve;
+use crate::shelf::{self, Shelf};
 use crate::status;
 use clap::{Parser, Subcommand};
 use hallrelay_config::fleet::Fleet;
@@ -36,6 +37,11 @@
         #[command(subcommand)]
         what: FleetWhat,
     },
+    /// Look at the store that a relay keeps in its state folder.
+    Store {
+        #[command(subcommand)]
+        what: Shelf,
+    },
     /// Print the version.
     Version,
 }
@@ -109,6 +115,7 @@
             }
             return Ok(u8::from(!status.is_whole()));
         }
+        What::Store { what } => return Ok(shelf::run(&what)),
         What::Version => println!("hallrelay {}", env!("CARGO_PKG_VERSION")),
         What::Check { given } => {
             let node = given.read(&given.told())?;
@@ -125,6 +132,9 @@
                     peers.len()
                 );
             }
+            if let Some(state) = &node.state {
+                println!("what it keeps is in {}", state.display());
+            }
             println!("listeners {:?}, zones {:?}", site.listeners, site.zones);
             println!("{} backends known, list version {}", known.instances.len(), known.generation);
             println!("{:#?}", node.limits);
--- a/relay/src/figures.rs
+++ b/relay/src/figures.rs
@@ -18,6 +18,12 @@
     line("in_progress", figures.in_progress as u64, 'g');
     line("known_backends", figures.known as u64, 'g');
     line("skipped_backends", figures.avoided as u64, 'g');
+    if let Some(store) = &figures.store {
+        line("store_failing", u64::from(store.failing.is_some()), 'g');
+        line("store_bytes", store.bytes, 'g');
+        let counts = [("batches", store.batches), ("failures", store.failures), ("refused", store.refused)];
+        counts.iter().for_each(|(name, value)| line(&format!("store_{name}"), *value, 'c'));
+    }
     if let Some(fleet) = &figures.fleet {
         let c = &fleet.counts;
         for (state, n) in State::ALL.iter().zip(fleet.states) {
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod lines;
 pub mod net;
 pub mod reducer;
+pub mod shelf;
 pub mod status;
--- a/relay/src/net/mod.rs
+++ b/relay/src/net/mod.rs
@@ -15,6 +15,7 @@
 mod read;
 pub mod serve;
 mod stop;
+mod store;
 
 use crate::clock::Clock;
 use crate::reducer::Event;
--- a/relay/src/net/serve.rs
+++ b/relay/src/net/serve.rs
@@ -1,13 +1,14 @@
 //! Runs the relay: events go to the reducer in order of arrival, its effects to the tasks.
-use super::{accept, discovery, fleet, handover, operator, peers, probe, stop, Command, Hub};
-use crate::clock::Clock;
+use super::{accept, discovery, fleet, handover, operator, peers, probe, stop, store, Command, Hub};
+use crate::clock::{span, Clock};
 use crate::lines;
 use crate::reducer::{Alarm, Call, Effect, Event, Reducer, Reply};
-use hallrelay::types::{Micros, ServerId};
+use hallrelay::types::{Micros, ServerId, SessId};
 use hallrelay_config::node::Node;
 use hallrelay_fleet::Effect as Told;
+use hallrelay_store::writer::Health;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -30,6 +31,10 @@
     taking: watch::Sender<bool>,
     door: Option<Door>,
     links: Option<fleet::Links>,
+    keeper: Option<store::Keeper>,
+    /// Dials that wait for a fact to be written: by session its number; till when, and what then goes out.
+    tickets: BTreeMap<SessId, u64>,
+    waiting: VecDeque<(u64, Micros, SessId, Command)>,
     exit: Option<std::io::Result<()>>,
 }
 
@@ -86,6 +91,15 @@
             Some(fleet::Links::new(told.clone(), Some(fleet::bind(told.listen).await?), hub.clone()))
         }
     };
+    let mut keeper = node.state.as_deref().map(|path| store::Keeper::new(path, limits.state_bytes));
+    let mut health = keeper.as_ref().map(store::Keeper::watch);
+    let mut stored = None;
+    if let Some(keeper) = keeper.as_mut().filter(|_| before.is_none()) {
+        stored = tokio::time::timeout(span(limits.state_open), keeper.open()).await.ok().and_then(Result::ok);
+        if stored.is_none() {
+            slog::warn!(log, "what was kept is not there in time: this relay begins without it");
+        }
+    }
     slog::info!(log, "serving"; "name" => &node.name, "listen" => %node.listen, "limits" => ?limits);
 
     let (taking, taken) = watch::channel(false);
@@ -99,24 +113,31 @@
         taking,
         door: door.map(|path| Door { path, listener: listener.clone(), wait: None }),
         links,
+        keeper,
+        tickets: BTreeMap::new(),
+        waiting: VecDeque::new(),
         exit: None,
     };
     tokio::task::spawn_local(accept::run(listener, taken, hub.clone()));
     let before = before.map(|talk| handover::begin(talk, &hub)).transpose()?;
     let (mut reducer, mut effects) = (Reducer::new(node, before), Vec::new());
+    stored.into_iter().for_each(|stored| reducer.remember(stored));
     reducer.start(clock.now(), &mut effects);
     hands.carry_out(&mut effects);
     tokio::task::spawn_local(stop::run(signals, reread, hub));
     while hands.exit.is_none() {
         let next = hands.alarms.first_key_value().map_or(Micros::MAX / 2, |((at, _), _)| *at);
+        let next = hands.waiting.front().map_or(next, |wait| wait.1.min(next));
         let event = tokio::select! {
             biased;
             // Before all that waits from sessions: a crowd of these may not delay an operator.
             Some((what, answer)) = calls.recv() => Some(hands.called(what, answer)),
             event = arrived.recv() => event,
+            Some(now) = changed(&mut health) => Some(hands.store_told(now)),
             () = sleep_until(clock.at(next)) => None,
         };
         let now = clock.now();
+        hands.dial_on(now);
         if let Some(event) = event {
             slog::trace!(log, "event"; "what" => ?event);
             reducer.step(now, event, &mut effects);
@@ -130,9 +151,22 @@
     let ended = hands.exit.take().unwrap_or(Ok(()));
     slog::info!(log, "stopping"; "well" => ended.is_ok());
     hands.close_door();
+    hands.keeper.iter_mut().for_each(store::Keeper::finish);
     ended
 }
 
+/// How the store does, as that changes; never where there is none.
+async fn changed(health: &mut Option<watch::Receiver<Health>>) -> Option<Health> {
+    match health {
+        Some(health) => {
+            // The keeper lives as long as the program.
+            health.changed().await.ok()?;
+            Some(health.borrow_and_update().clone())
+        }
+        None => std::future::pending().await,
+    }
+}
+
 fn from_std(listener: std::net::TcpListener) -> std::io::Result<TcpListener> {
     listener.set_nonblocking(true)?;
     TcpListener::from_std(listener)
@@ -154,6 +188,24 @@
         Event::Called { call, what }
     }
 
+    fn store_told(&mut self, now: Health) -> Event {
+        if let Some(why) = &now.failing {
+            slog::warn!(self.hub.log, "what is to be kept is not written"; "why" => why);
+        }
+        Event::Store(Box::new(now))
+    }
+
+    /// Lets dials go whose fact is written, or has taken too long: service does not wait for a disk.
+    fn dial_on(&mut self, now: Micros) {
+        let Some(keeper) = &self.keeper else { return };
+        while self.waiting.front().is_some_and(|(ticket, until, ..)| *until <= now || keeper.settled(*ticket))
+        {
+            if let Some((_, _, sess, dial)) = self.waiting.pop_front() {
+                self.hub.command(sess, dial);
+            }
+        }
+    }
+
     fn due(&mut self, now: Micros) -> Option<Alarm> {
         let first = self.alarms.first_entry().filter(|first| first.key().0 <= now)?;
         Some(first.remove())
@@ -161,6 +213,11 @@
 
     fn carry_out(&mut self, effects: &mut Vec<Effect>) {
         for effect in effects.drain(..) {
+            if let Effect::Refuse { sess, .. } | Effect::TearDown { sess } | Effect::Close { sess } = &effect
+            {
+                // Its dial never went out, and nothing is sent for it after its answer.
+                self.waiting.retain(|wait| wait.2 != *sess);
+            }
             slog::trace!(self.hub.log, "effect"; "what" => ?effect);
             match effect {
                 Effect::Pong { conn } => self.hub.command(conn, Command::Pong(lines::PONG)),
@@ -170,7 +227,31 @@
                     _ = self.calls.remove(&call).map(|answer| answer.send(reply));
                 }
                 Effect::Dial { sess, dial, addr, wait } => {
-                    self.hub.command(sess, Command::Dial { dial, addr, wait });
+                    let command = Command::Dial { dial, addr, wait };
+                    let ticket = self.tickets.remove(&sess);
+                    let unwritten = |t: &u64| self.keeper.as_ref().is_some_and(|keeper| !keeper.settled(*t));
+                    match ticket.filter(unwritten) {
+                        Some(ticket) => {
+                            let until = self.hub.clock.now() + self.hub.limits().state_wait;
+                            self.waiting.push_back((ticket, until, sess, command));
+                        }
+                        None => self.hub.command(sess, command),
+                    }
+                }
+                Effect::Keep { kept, before } => {
+                    let ticket = self.keeper.as_ref().and_then(|keeper| keeper.put(kept));
+                    if let (Some(sess), Some(ticket)) = (before, ticket) {
+                        self.tickets.insert(sess, ticket);
+                    }
+                }
+                Effect::Keeping { on } => {
+                    if let Some(keeper) = &mut self.keeper {
+                        match on {
+                            // What it held this process knows by now.
+                            true => drop(keeper.open()),
+                            false => keeper.close(),
+                        }
+                    }
                 }
                 Effect::Pass { sess } => self.hub.command(sess, Command::Pass),
                 Effect::Refuse { sess, retry_after } => {
--- a/relay/src/reducer/figures.rs
+++ b/relay/src/reducer/figures.rs
@@ -1,5 +1,6 @@
 //! What operators are told in numbers: counted where the state changes, read as a whole.
 use super::{FleetFigures, Reducer};
+use hallrelay_store::writer::Health;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -31,6 +32,8 @@
     pub avoided: usize,
     /// Of the other relays; none where this one is told of none.
     pub fleet: Option<Box<FleetFigures>>,
+    /// Of the store; none where nothing is kept.
+    pub store: Option<Box<Health>>,
 }
 
 impl Figures {
@@ -62,6 +65,7 @@
             known: listed.clone().count(),
             avoided: listed.filter(|(&server, _)| self.module.avoids(self.now, server)).count(),
             fleet: self.fleet_figures(),
+            store: self.store.clone(),
             ..self.figures.clone()
         }
     }
--- a/relay/src/reducer/mod.rs
+++ b/relay/src/reducer/mod.rs
@@ -4,6 +4,7 @@
 mod duty;
 mod figures;
 mod fleet;
+mod keep;
 mod place;
 mod servers;
 mod sessions;
@@ -25,6 +26,8 @@
 use hallrelay_fleet::Membership;
 use hallrelay_handover::place::{self as handover, Peer, Place};
 use hallrelay_handover::{Message, Session};
+use hallrelay_recovery::{Kept, Stored};
+use hallrelay_store::writer::Health;
 use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -143,6 +146,8 @@
     Place(handover::Event),
     /// Something came from another relay.
     Fleet(hallrelay_fleet::Event),
+    /// How the store does, as it changes.
+    Store(Box<Health>),
     Alarm(Alarm),
     Stop,
 }
@@ -253,6 +258,15 @@
     Door {
         open: bool,
     },
+    /// A fact goes to the store; the dial of a session may go once it is written, or that takes too long.
+    Keep {
+        kept: Kept,
+        before: Option<SessId>,
+    },
+    /// The store is this process's, or another's.
+    Keeping {
+        on: bool,
+    },
     /// What goes to other relays.
     Fleet(hallrelay_fleet::Effect),
     Note {
@@ -368,6 +382,9 @@
     figures: Figures,
     place: Place,
     fleet: Option<Membership>,
+    /// What the store held, till the start has gone by it; how the store does.
+    stored: Option<Box<Stored>>,
+    store: Option<Box<Health>>,
     /// What the process before this one holds still: connections, and sessions among them.
     shared: (usize, u32),
     /// Marks of sessions there.
@@ -388,6 +405,8 @@
             module: Relay::new(node.site.facts.clone(), node.seed),
             figures: Figures::of(&node.site.listeners),
             fleet: None,
+            stored: None,
+            store: None,
             node,
             now: 0,
             sessions: BTreeMap::new(),
@@ -408,10 +427,18 @@
 
     /// Begins with the list as this relay last had it.
     pub fn start(&mut self, now: Micros, out: &mut Vec<Effect>) {
-        let known = List { whole: true, ..self.node.known.clone() };
-        (self.now, self.generation) = (now, Some(known.generation));
-        self.fleet = fleet::membership(&self.node, now);
+        self.now = now;
+        let recovered = self.recovered(now, out).unwrap_or_default();
+        let stored = (!recovered.list.instances.is_empty()).then(|| recovered.list.clone());
+        let known = stored.unwrap_or(List { whole: true, ..self.node.known.clone() });
+        self.generation = Some(known.generation);
+        let start = now.max(recovered.start);
+        self.fleet = fleet::membership(&self.node, start);
         self.list(known, out);
+        self.remember_turns(&recovered, out);
+        if self.place.before().is_none() {
+            self.keep_own(start, out);
+        }
         // Where the module counts on being told unasked, the watch that tells it is the program's own.
         if !self.node.site.facts.must_watch {
             self.ask_list(out);
@@ -467,6 +494,7 @@
             Event::Inherited { sess, session } => self.inherited(sess, *session, out),
             Event::Place(event) => self.placed(event, out),
             Event::Fleet(event) => self.fleet(event, out),
+            Event::Store(health) => self.store = Some(health),
             Event::Alarm(alarm) => self.alarm(alarm, out),
             Event::Stop => _ = self.turn(Sign::Stop, out),
             // Of a dial or a session that is over.
@@ -488,8 +516,9 @@
                 let Some(s) = self.sessions.get_mut(&sess) else { return };
                 (s.stage, s.server, s.dials) = (Stage::Dial, Some(server), s.dials + 1);
                 let dial = s.dials - 1;
-                if let Some(v) = self.servers.get(&server) {
-                    return out.push(Effect::Dial { sess, dial, addr: v.told.addr, wait });
+                if let Some(addr) = self.servers.get(&server).map(|v| v.told.addr) {
+                    self.keep_turn(server, sess, out);
+                    return out.push(Effect::Dial { sess, dial, addr, wait });
                 }
                 let end = DialEnd::Unconnected;
                 self.tell(Input::DialEnded { sess, dial, end, settled: false, report: None }, out);
--- a/relay/src/reducer/place.rs
+++ b/relay/src/reducer/place.rs
@@ -38,6 +38,7 @@
                 Act::Return => {
                     note("the new process died, and this one takes connections again", out);
                     self.turn(Sign::Return, out);
+                    out.push(Effect::Keeping { on: true });
                     self.fleet(Fleet::Begin, out);
                     out.push(Effect::Door { open: true });
                 }
@@ -63,6 +64,7 @@
         self.turn(Sign::Yield, out);
         // One process speaks for the relay: this one is still before the other can begin.
         self.fleet(Fleet::Yield, out);
+        out.push(Effect::Keeping { on: false });
         out.push(Effect::Tell { peer, message: Message::Yours(state) });
         let open: Vec<SessId> = self.sessions.keys().copied().collect();
         open.into_iter().for_each(|sess| self.pass_on(sess, out));
@@ -151,6 +153,7 @@
         let Some(state) = state else {
             note("the process before this one died as it was to be replaced", out);
             self.turn(Sign::Take, out);
+            out.push(Effect::Keeping { on: true });
             self.fleet(Fleet::Begin, out);
             return out.push(Effect::Door { open: true });
         };
@@ -181,6 +184,7 @@
                 self.since = self.now.saturating_sub(ago);
             }
         }
+        out.push(Effect::Keeping { on: true });
         self.fleet(Fleet::Begin, out);
         out.push(Effect::Door { open: true });
     }
--- a/relay/src/reducer/watch.rs
+++ b/relay/src/reducer/watch.rs
@@ -25,6 +25,7 @@
         } else if w.before != Some(watch) {
             return;
         }
+        self.keep_list(&list, out);
         self.list(list, out);
     }
 
--- a/relay/tests/common/mod.rs
+++ b/relay/tests/common/mod.rs
@@ -7,6 +7,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// How long is waited for what must come.
@@ -165,12 +166,45 @@
     place
 }
 
-fn serve(mut stream: TcpStream) {
+/// A backend that counts the sessions that come to it.
+pub struct Counted {
+    pub place: SocketAddr,
+    opened: Arc<AtomicU64>,
+}
+
+impl Counted {
+    pub fn begin() -> Counted {
+        let listener = TcpListener::bind(free()).expect("a port");
+        let place = listener.local_addr().expect("its address");
+        let opened = Arc::new(AtomicU64::new(0));
+        let count = opened.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let count = count.clone();
+                std::thread::spawn(move || serve_counted(stream, &count));
+            }
+        });
+        Counted { place, opened }
+    }
+
+    pub fn opened(&self) -> u64 {
+        self.opened.load(Ordering::SeqCst)
+    }
+}
+
+fn serve(stream: TcpStream) {
+    serve_counted(stream, &AtomicU64::new(0));
+}
+
+fn serve_counted(mut stream: TcpStream, opened: &AtomicU64) {
     let mut lines = BufReader::new(stream.try_clone().expect("a handle"));
     let mut line = String::new();
     while matches!(lines.read_line(&mut line), Ok(1..)) {
         let answer = match line.split(' ').next() {
-            Some("OPEN") => "UP r1\r\n".to_string(),
+            Some("OPEN") => {
+                opened.fetch_add(1, Ordering::SeqCst);
+                "UP r1\r\n".to_string()
+            }
             _ => line.clone(),
         };
         if stream.write_all(answer.as_bytes()).is_err() {
--- /dev/null
+++ b/store/examples/measure.rs
@@ -0,0 +1,48 @@
+//! What the store costs: recovery of a million records, a value put while a disk writes, a batch made durable.
+//!   cargo run --release -p hallrelay-store --example measure [FOLDER]
+use hallrelay_store::writer::Writer;
+use hallrelay_store::{Folder, Key, Store, Value};
+use std::time::Instant;
+
+fn main() -> Result<(), String> {
+    let folder = std::env::args().nth(1).map_or_else(std::env::temp_dir, Into::into);
+    let folder = folder.join(format!("hallrelay-measure-{}", std::process::id()));
+    let told = |e: &dyn std::fmt::Display| e.to_string();
+    let open = || Store::open(Folder::open(&folder).map_err(|e| told(&e))?, 1 << 30).map_err(|e| told(&e));
+    let key = |n: u64| Key { kind: 3, name: format!("server-{n}").into_bytes() };
+    let value = |n: u64| Value { version: 1, bytes: format!("{n:0100}").into_bytes() };
+
+    let mut store = open()?;
+    const RECORDS: u64 = 1_000_000;
+    for from in (0..RECORDS).step_by(1_000) {
+        let batch = (from..from + 1_000).map(|n| (key(n), Some(value(n)))).collect();
+        store.commit(batch).map_err(|e| told(&e))?;
+    }
+    let bytes = store.size().0;
+    drop(store);
+    let started = Instant::now();
+    let store = open()?;
+    let took = started.elapsed();
+    println!("{} facts, {} MB, recovered in {:.2} s", store.all().count(), bytes >> 20, took.as_secs_f64());
+    drop(store);
+
+    std::fs::remove_dir_all(&folder).map_err(|e| told(&e))?;
+    let mut store = open()?;
+    let started = Instant::now();
+    const BATCHES: u64 = 500;
+    for n in 0..BATCHES {
+        store.commit(vec![(key(n), Some(value(n)))]).map_err(|e| told(&e))?;
+    }
+    println!("a batch durable after {:.0} us", started.elapsed().as_micros() as f64 / BATCHES as f64);
+
+    let writer = Writer::start(store, |_| {}).map_err(|e| told(&e))?;
+    const PUTS: u64 = 200_000;
+    let values: Vec<_> = (0..PUTS).map(|n| (key(n % 2_000), value(n))).collect();
+    let started = Instant::now();
+    for (key, value) in values {
+        writer.put(key, Some(value)).ok_or("no room")?;
+    }
+    println!("a value put in {:.2} us", started.elapsed().as_nanos() as f64 / 1e3 / PUTS as f64);
+    drop(writer);
+    std::fs::remove_dir_all(&folder).map_err(|e| told(&e))
+}
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -386,6 +386,8 @@
             },
             Effect::PassOn { sess, peer, .. } => format!("pass {sess} on to {peer}"),
             Effect::Part { peer } => format!("part from {peer}"),
+            Effect::Keep { kept, .. } => format!("keep {} {}", kept.fact.word(), kept.name),
+            Effect::Keeping { .. } => "alarm".to_string(),
             Effect::Fleet(effect) => format!("to the fleet {effect:?}"),
             Effect::Note { .. } => "alarm".to_string(),
             Effect::GiveUp { why } => format!("give up: {why}"),
