--- a/relay/tests/recovery.rs
+++ b/relay/tests/recovery.rs
@@ -64,10 +64,185 @@
     let follows = String::from_utf8_lossy(&asked).contains("follow=1");
     let mut last = if follows { 0 } else { first.0 };
     let head = "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n";
+    let whole = if follows { String::new() } else { text(first) };
+    if stream.write_all((head.to_string() + &whole).as_bytes()).is_err() || !follows {
+        return;
+    }
+    while let Some(list) = now() {
+        let line = if list.0 > last { text(list.clone()) } else { "\n".to_string() };
+        last = list.0;
+        if stream.write_all(line.as_bytes()).is_err() {
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
+fn instance(id: &str, at: &Counted, lifecycle: &str, started_ms: u64) -> Value {
+    json!({"instanceId": id, "hostPort": at.place.to_string(), "lifecycle": lifecycle, "startedAtMs": started_ms})
+}
+
+struct Fixture {
+    site: Site,
+    state: PathBuf,
+    servers: [Counted; 2],
+    discovery: Discovery,
+}
+
+fn fixture(name: &str) -> Fixture {
+    let mut site = Site::new(&format!("recovery-{name}"));
+    let servers = [Counted::begin(), Counted::begin()];
+    let up = vec![instance("s-0", &servers[0], "up", 0), instance("s-1", &servers[1], "up", 0)];
+    let discovery = Discovery::begin(up.clone());
+    let state = site.folder.join("state");
+    site.text["discovery"] = json!(discovery.at.to_string());
+    site.text["known"] = json!({"generation": 1, "reset": true, "instances": up});
+    site.text["settings"]["Listeners"] = json!([listener("low", 1.0, "retryable")]);
+    site.text["settings"]["Listeners"][0]["DialTimeout"] = json!(300);
+    site.text["state"] = json!(state.display().to_string());
+    Fixture { site, state, servers, discovery }
+}
+
+/// Opens sessions one after the other, and leaves; how many came about.
+fn sessions(listen: SocketAddr, count: usize) -> usize {
+    (0..count).filter(|_| Client::open(listen, "low").is_ok()).count()
+}
+
+fn shelf(what: &str, state: &Path) -> (Option<i32>, String) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_hallrelay"));
+    let output = command.args(["store", what]).arg(state).output().expect("it runs");
+    (output.status.code(), String::from_utf8_lossy(&output.stdout).into_owned())
+}
+
+fn kept(state: &Path, text: &str) -> bool {
+    shelf("export", state).1.contains(text)
+}
+
+fn killed(mut relay: Relay) {
+    relay.child.kill().expect("it lives");
+    relay.child.wait().expect("it ends");
+}
+
+/// Guards rule 3: the configuration's list is from before the drain, and nobody is there to tell of it again.
+#[test]
+fn a_drain_told_before_a_kill_holds_with_the_list_service_dark() {
+    let mut f = fixture("drain");
+    let relay = f.site.start();
+    relay.until_ready();
+    let draining =
+        vec![instance("s-0", &f.servers[0], "draining", 0), instance("s-1", &f.servers[1], "up", 0)];
+    f.discovery.tell(draining);
+    until("it is kept", || kept(&f.state, "\"draining\""));
+    killed(relay);
+    f.discovery.goes_dark();
+    let before = f.servers.each_ref().map(Counted::opened);
+    let relay = f.site.start();
+    relay.until_ready();
+    assert_eq!(sessions(f.site.listen, 30), 30);
+    let after = f.servers.each_ref().map(Counted::opened);
+    assert_eq!((after[0] - before[0], after[1] - before[1]), (0, 30), "nothing new to one that drains");
+    killed(relay);
+    // Without what it kept it goes by the configuration, and dials both: the store is what held it back.
+    f.site.text.as_object_mut().expect("a table").remove("state");
+    let relay = f.site.start();
+    relay.until_ready();
+    sessions(f.site.listen, 30);
+    assert!(f.servers[0].opened() > after[0], "a relay that knows nothing dials it");
+    drop(relay);
+}
+
+/// Guards rule 4: a relay that crashes again and again does not spend a turn at a cold server with each life.
+#[test]
+fn a_crash_loop_spends_no_turn_twice() {
+    let lives = |name: &str, keeps: bool| {
+        let mut f = fixture(name);
+        // A turn each 2.1 s by the warm-up, the first one after half of that; a life is a little longer than
+        // this half.
+        f.site.text["settings"]["Rules"]["Cold"] = json!(100_000);
+        let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("a clock");
+        let started = now.as_millis() as u64 - 10_000;
+        let cold = vec![instance("s-0", &f.servers[0], "up", started)];
+        f.discovery.tell(cold.clone());
+        f.site.text["known"]["instances"] = json!(cold);
+        if !keeps {
+            f.site.text.as_object_mut().expect("a table").remove("state");
+        }
+        let mut opened = Vec::new();
+        for _ in 0..5 {
+            let before = f.servers[0].opened();
+            let relay = f.site.start();
+            relay.until_ready();
+            let until = std::time::Instant::now() + Duration::from_millis(1_250);
+            while std::time::Instant::now() < until {
+                sessions(f.site.listen, 1);
+                std::thread::sleep(Duration::from_millis(10));
+            }
+            killed(relay);
+            opened.push(f.servers[0].opened() - before);
+        }
+        opened
+    };
+    let both = std::thread::spawn(move || lives("loop-without", false));
+    let (with, without) = (lives("loop", true), both.join().expect("lives"));
+    println!("{with:?} beside {without:?}");
+    let sum = |all: &[u64]| all.iter().sum::<u64>();
+    assert!(sum(&with) >= 1 && sum(&with) < sum(&without), "{with:?} beside {without:?}");
+}
+
+/// A relay that starts while the list service is dark asks another one: whom that calls draining it leaves, a server
+/// that it never heard of it tries, and whom it was told to leave itself nobody's word brings back.
+#[test]
+fn another_relay_tells_the_list_while_its_service_is_dark() {
+    let (mut f, mut second) = (fixture("hearsay"), fixture("hearsay-second"));
+    let third = Counted::begin();
+    let places = [free(), free()];
+    let peers = json!(places.map(|place| place.to_string()));
+    for (i, site) in [&mut f.site, &mut second.site].into_iter().enumerate() {
+        site.text["name"] = json!(format!("r{i}"));
+        site.text["fleet"] = json!({"name": "f", "listen": places[i].to_string(), "peers": peers});
+        site.text["discovery"] = json!(f.discovery.at.to_string());
+        site.text["known"]["instances"] =
+            json!([instance("s-0", &f.servers[0], "up", 0), instance("s-1", &f.servers[1], "up", 0)]);
+    }
+    second.site.text.as_object_mut().expect("a table").remove("state");
+    let first = f.site.start();
+    first.until_ready();
+    f.discovery.tell(vec![
+        instance("s-0", &f.servers[0], "draining", 0),
+        instance("s-1", &f.servers[1], "up", 0),
+        instance("s-2", &third, "up", 0),
+    ]);
+    until("the first one heard it", || first.figure("known_backends") == Some(3));
+    f.discovery.goes_dark();
+    let other = second.site.start();
+    other.until_ready();
+    until("the other one heard of it", || other.figure("known_backends") == Some(3));
+    let before = [f.servers[0].opened(), third.opened()];
+    assert_eq!(sessions(second.site.listen, 60), 60);
+    assert_eq!(f.servers[0].opened(), before[0], "nothing new to one that drains");
+    assert!(third.opened() > before[1], "one that it never heard of is tried");
+    // The first one is told that s-2 is gone, and starts again beside one that believes in it.
+    killed(first);
+    killed(other);
+    *f.discovery.list.lock().expect("nobody panics with it") = Some((2, vec![]));
+    let first = f.site.start();
+    first.until_ready();
+    let gone = vec![instance("s-1", &f.servers[1], "up", 0), instance("s-2", &third, "removed", 0)];
+    f.discovery.tell(gone);
+    until("it is kept", || kept(&f.state, "\"removed\""));
+    f.discovery.goes_dark();
+    killed(first);
+    second.site.text["known"]["instances"] =
+        json!([instance("s-1", &f.servers[1], "up", 0), instance("s-2", &third, "up", 0)]);
+    let other = second.site.start();
+    other.until_ready();
+    let first = f.site.start();
+    first.until_ready();
     until("it asked the other one", || first.figure("fleet_hearsay") > Some(0));
     let before = third.opened();
     sessions(f.site.listen, 30);
     assert_eq!(third.opened(), before, "whom it was told to leave nobody's word brings back");
+    drop(other);
 }
 
 /// What is wrong with the store costs no service, is said, and heals.
