--- a/config/src/scenario/mod.rs
+++ b/config/src/scenario/mod.rs
@@ -118,6 +118,8 @@
     /// Whether they know each other, and how many of them are in everybody's list to begin with.
     pub fleet: bool,
     pub seeds: usize,
+    /// The longest time after which a refused client may be told to come again; 0 where relays may tell none.
+    pub retry_after_ms: Millis,
     /// Whether they keep what they must know across restarts.
     pub state: bool,
     /// Which list stands in the configuration of one that starts: the newest, or that of the day's beginning.
@@ -143,6 +145,7 @@
             connect_timeout_ms: Span(250_000),
             fleet: false,
             seeds: 3,
+            retry_after_ms: Span(0),
             state: false,
             known: KnownList::Newest,
         }
--- a/emulator/src/audit.rs
+++ b/emulator/src/audit.rs
@@ -93,6 +93,12 @@
     /// Dues by time, to find what was never answered.
     dues: BTreeMap<(Micros, u64), ()>,
     known: Vec<Vec<Known>>,
+    /// What each relay was told in an earlier life of its process and nothing since: since when a server is shut.
+    before: Vec<Vec<Option<Micros>>>,
+    /// Whether relays keep what they must know, so that being told outlives a process.
+    keeps: bool,
+    /// Dials of a relay that was told to leave that server, in an earlier life or this one.
+    pub stale_dials: u64,
     /// Since when each server is shut by the list service's own knowledge.
     shut: Vec<Option<Micros>>,
     /// Relays: up or not, since when, and how many times the usual interval holds for what counts as told.
@@ -101,6 +107,8 @@
     patience: Vec<Micros>,
     /// Relays that stand still, not of their own doing.
     stalled: Vec<bool>,
+    /// When each relay's process ended last.
+    ended: Vec<Micros>,
     pub breaches: Vec<Breach>,
     /// Breaches beyond those that are kept whole.
     pub more: u64,
@@ -132,11 +140,15 @@
             sessions: BTreeMap::new(),
             dues: BTreeMap::new(),
             known: vec![vec![Known::default(); servers]; relays],
+            before: vec![vec![None; servers]; relays],
+            keeps: s.relays.state,
+            stale_dials: 0,
             shut: vec![None; servers],
             up: vec![true; relays],
             started: vec![begin; relays],
             patience: vec![1; relays],
             stalled: vec![false; relays],
+            ended: vec![begin; relays],
             breaches: Vec::new(),
             more: 0,
             sessions_seen: 0,
@@ -351,7 +363,12 @@
     fn drains(&mut self, now: Micros, first: Micros, mark: u64, server: usize, relay: usize, standing: bool) {
         let deemed =
             self.shut[server].map(|t| t.max(self.started[relay]) + self.ask_within * self.patience[relay]);
-        let told = [self.known[relay][server].shut, deemed].into_iter().flatten().min();
+        let before = self.before[relay][server];
+        if before.is_some_and(|told| first > told + self.grace + self.slack) && !standing {
+            self.stale_dials += 1;
+        }
+        let told = [self.known[relay][server].shut, deemed, before.filter(|_| self.keeps)];
+        let told = told.into_iter().flatten().min();
         let Some(told) = told.filter(|_| !standing) else { return };
         if first > told + self.grace + self.slack {
             let after = (first - told) as f64 / 1e3;
@@ -389,6 +406,9 @@
 
     /// The list has told a relay of servers.
     pub fn told(&mut self, now: Micros, relay: usize, server: usize, phase: Phase) {
+        if phase == Phase::Ready {
+            self.before[relay][server] = None;
+        }
         let known = &mut self.known[relay][server];
         known.shut = if phase == Phase::Ready { None } else { known.shut.or(Some(now)) };
         self.patience[relay] = 1;
@@ -406,8 +426,9 @@
     }
 
     /// A relay ends: what it held is its clients' to ask again.
-    pub fn relay_ends(&mut self, relay: usize) {
+    pub fn relay_ends(&mut self, now: Micros, relay: usize) {
         self.up[relay] = false;
+        self.ended[relay] = now;
         let gone: Vec<(Micros, u64)> =
             self.dues.keys().copied().filter(|(_, m)| self.is_at(*m, relay)).collect();
         gone.into_iter().for_each(|key| _ = self.dues.remove(&key));
@@ -422,7 +443,12 @@
 
     pub fn relay_starts(&mut self, now: Micros, relay: usize) {
         (self.up[relay], self.started[relay], self.patience[relay]) = (true, now, 1);
-        self.known[relay].fill(Known::default());
+        // What a process was told within moments of its death may not have come to its store.
+        const WRITTEN: Micros = 1_000_000;
+        for (known, before) in self.known[relay].iter_mut().zip(&mut self.before[relay]) {
+            let told = std::mem::take(known).shut.filter(|told| told + WRITTEN < self.ended[relay]);
+            *before = told.or(*before);
+        }
         self.stalled[relay] = false;
     }
 
--- a/emulator/src/net/mod.rs
+++ b/emulator/src/net/mod.rs
@@ -308,7 +308,7 @@
     /// A relay's process has ended: the front will notice.
     pub fn relay_ended(self: &Rc<Host>, relay: usize) {
         self.with(|day, now, _| {
-            day.audit.relay_ends(relay);
+            day.audit.relay_ends(now, relay);
             day.beliefs.is(now, relay, Is::Down);
             day.servers.forgets(relay);
             day.clients.relay_is(now, relay, false);
--- a/emulator/src/service.rs
+++ b/emulator/src/service.rs
@@ -96,11 +96,18 @@
     pub relays: Vec<RelayFigures>,
     pub late_ms: f64,
     pub bad_clients: BadFigures,
+    /// Dials of a relay to a server that it had been told to leave, in this life of its process or before.
+    #[serde(default, skip_serializing_if = "is_none")]
+    pub stale_dials: u64,
     /// What the relays believed of each other, where they know each other.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub fleet: Option<FleetOutcome>,
 }
 
+fn is_none(count: &u64) -> bool {
+    *count == 0
+}
+
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct RelayFigures {
     pub cpu_s: f64,
@@ -289,6 +296,7 @@
             probes: servers.counts.probes,
             wasted,
             most_open: self.most_open,
+            stale_dials: audit.stale_dials,
             cold_falls: audit.falls,
             breaches: audit.breaches.clone(),
             breaches_in_all: audit.breached(),
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -40,6 +40,13 @@
         "{} moves, {} breaks, {} dials, {} probes, {} cold servers fell over",
         o.moves, o.breaks, o.dials, o.probes, o.cold_falls
     );
+    if o.stale_dials > 0 {
+        _ = writeln!(
+            t,
+            "{} dials to servers that the relay had been told to leave before it restarted",
+            o.stale_dials
+        );
+    }
     let troubles: Vec<String> =
         o.troubles.iter().map(|b| format!("{} {:.0} to {:.0} s", b.kind, b.from, b.to)).collect();
     _ = writeln!(
--- a/lab/src/virt/mod.rs
+++ b/lab/src/virt/mod.rs
@@ -374,7 +374,7 @@
         r.marks.clear();
         r.past.clear();
         let lines = std::mem::take(&mut r.lines);
-        self.day.audit.relay_ends(relay);
+        self.day.audit.relay_ends(self.now, relay);
         self.day.beliefs.is(self.now, relay, Is::Down);
         self.day.servers.forgets(relay);
         self.day.clients.relay_is(self.now, relay, false);
--- a/lab/tests/troubles.rs
+++ b/lab/tests/troubles.rs
@@ -3,7 +3,8 @@
 //!   `# set KEY = VALUE`                          changes a key of the scenario
 //!   `# expect MEASURE < NUMBER [from A to B]`    or `>`; service can be that of some seconds
 //!   `# expect log TEXT`                          a line of the log holds this
-//! Measures: service, refused, failed, moves, breaks, dials, open, cold_falls, starts (of relays); of relays
+//! Measures: service, refused, failed, moves, breaks, dials, open, cold_falls, starts (of relays), stale (dials to
+//! servers that a relay had been told to leave before it restarted); of relays
 //! that know each other: findings (beliefs that were wrong), gone (times that one called another so), deaths
 //! (known to one other each), last_known (seconds till the last one knew), damaged (datagrams),
 //! whole_at_end (relays that then call the fleet whole).
@@ -33,6 +34,7 @@
         "dials" => o.dials as f64,
         "open" => f64::from(o.most_open),
         "cold_falls" => f64::from(o.cold_falls),
+        "stale" => o.stale_dials as f64,
         "findings" => fleet(o)?.findings_in_all as f64,
         "gone" => fleet(o)?.beliefs.iter().filter(|b| b.state == "gone").count() as f64,
         "deaths" => fleet(o)?.deaths.count as f64,
--- a/relay/src/reducer/hearsay.rs
+++ b/relay/src/reducer/hearsay.rs
@@ -9,9 +9,10 @@
 
 /// A start waits so long for discovery before it asks others: it answers within some ms where it is there.
 const FIRST: Micros = 500_000;
-/// One member is asked each second till one told something, then each ten seconds: 300 relays that wait for the
-/// list ask each of them once a second in the mean.
-const AGAIN: Micros = 1_000_000;
+/// One member is asked each half second till one told to whom discovery had spoken, then each ten seconds. Who
+/// started as lately knows no more than its own configuration: with a stop at the first answer half of the dials
+/// to servers that drained went on. 300 relays that wait ask each other twice a second in the mean.
+const AGAIN: Micros = 500_000;
 const LATER: Micros = 10_000_000;
 /// Servers told to be gone that are remembered as such; the first by name are forgotten where there are more.
 const GONE: usize = 4_096;
@@ -38,7 +39,7 @@
         if self.spoken.is_some() || !self.place.has() {
             return;
         }
-        let again = if self.hearsay > 0 { LATER } else { AGAIN };
+        let again = if self.informed { LATER } else { AGAIN };
         out.push(Effect::Alarm { after: again, alarm: Alarm::Recall });
         self.fleet(Fleet::Recall, out);
     }
@@ -66,6 +67,7 @@
         let Ok(list) = list::parse(told.list.to_string().as_bytes()) else { return };
         let changed: Vec<Instance> = list.instances.into_iter().filter_map(|one| self.weigh(one)).collect();
         self.hearsay += 1;
+        self.informed |= told.age_ms.is_some() && told.source == self.node.discovery.to_string();
         if changed.is_empty() {
             return;
         }
--- a/relay/src/reducer/mod.rs
+++ b/relay/src/reducer/mod.rs
@@ -391,6 +391,8 @@
     /// When discovery spoke last in this life, and how often others told of the list before it did.
     spoken: Option<Micros>,
     hearsay: u32,
+    /// One of those had heard it of discovery itself.
+    informed: bool,
     /// Servers that discovery called gone, and which life of theirs.
     gone: BTreeMap<String, Micros>,
     /// What the process before this one holds still: connections, and sessions among them.
@@ -417,6 +419,7 @@
             store: None,
             spoken: None,
             hearsay: 0,
+            informed: false,
             gone: BTreeMap::new(),
             node,
             now: 0,
