A server that answers again after it took no connection is cold, where nobody tells of starts

Change: reducer/evidence.rs counts connections not made in a row, by dials and probes; two and then an answer, while no watch speaks, is a start. Off where neither state nor fleet is configured.

--- /dev/null
+++ b/relay/src/reducer/evidence.rs
@@ -0,0 +1,35 @@
+//! What a server's own answers tell of its starts while discovery says nothing: one that took no connection and
+//! then answers has most likely started in between, and is cold. Guards rule 4 after a power loss, when nobody
+//! tells of starts and a list that is old calls all servers warm; it guards a crash during an outage of the list
+//! service too. It hurts where a network was cut for a while: those servers are spared for one warm-up, till
+//! discovery speaks.
+use super::Reducer;
+use hallrelay::types::{DialEnd, Input, ListKind, ServerId};
+
+/// Connections in a row that were not made: one may be a lost packet.
+const MISSED: u32 = 2;
+
+impl Reducer {
+    /// A dial or a probe came to an end at a server.
+    pub(super) fn meets(&mut self, server: Option<ServerId>, end: DialEnd, out: &mut Vec<super::Effect>) {
+        if self.node.state.is_none() && self.node.fleet.is_none() {
+            return;
+        }
+        // A watch that speaks tells of starts itself.
+        let dark = self.watch.before.is_none();
+        let Some(v) = server.and_then(|id| self.servers.get_mut(&id)) else { return };
+        if end == DialEnd::Unconnected {
+            v.refused += 1;
+            return;
+        }
+        // Silence tells neither way: whoever waits was connected.
+        let answers = matches!(end, DialEnd::Ok | DialEnd::Full | DialEnd::Error | DialEnd::Recalled);
+        if !answers || std::mem::take(&mut v.refused) < MISSED || !dark {
+            return;
+        }
+        let mut one = v.told.clone();
+        one.came_up = self.now;
+        let entry = self.entry(one);
+        self.tell(Input::List { kind: ListKind::Changes, entries: vec![entry] }, out);
+    }
+}
--- a/relay/src/reducer/mod.rs
+++ b/relay/src/reducer/mod.rs
@@ -2,6 +2,7 @@
 //! decision module its inputs and turns its effects into reading, writing, dialling and timers, which tasks
 //! carry out. It reads no clock and no socket, and decides nothing that the module decides.
 mod duty;
+mod evidence;
 mod figures;
 mod fleet;
 mod hearsay;
@@ -339,6 +340,8 @@
     probing: bool,
     /// Probes in a row without any answer.
     misses: u32,
+    /// Connections in a row that were not made.
+    refused: u32,
     delay: Delay,
 }
 
--- a/relay/src/reducer/servers.rs
+++ b/relay/src/reducer/servers.rs
@@ -8,6 +8,7 @@
     pub(super) fn probed(&mut self, server: ServerId, end: DialEnd, out: &mut Vec<Effect>) {
         // One may be lost to a busy moment.
         const MISSES: u32 = 2;
+        self.meets(Some(server), end, out);
         let Some(v) = self.servers.get_mut(&server) else { return };
         v.probing = false;
         let missed = matches!(end, DialEnd::Timeout | DialEnd::Unconnected);
@@ -44,7 +45,8 @@
                 server
             }
         };
-        let fresh = || Server { told: one.clone(), probing: false, misses: 0, delay: Delay::default() };
+        let fresh =
+            || Server { told: one.clone(), probing: false, misses: 0, refused: 0, delay: Delay::default() };
         let v = self.servers.entry(server).or_insert_with(fresh);
         v.told = one.clone();
         let zone = self.node.site.zones.iter().position(|name| *name == one.zone);
--- a/relay/src/reducer/sessions.rs
+++ b/relay/src/reducer/sessions.rs
@@ -151,6 +151,9 @@
             return self.lapse(sess, out);
         };
         s.stage = Stage::Pass;
+        let server = s.server;
+        self.meets(server, DialEnd::Ok, out);
+        let Some(s) = self.sessions.get_mut(&sess) else { return };
         self.figures.of_listener(&s.listener).passed += 1;
         out.push(Effect::Pass { sess });
         match (std::mem::take(&mut s.standing), s.server) {
@@ -180,12 +183,14 @@
             let alarm = Alarm::Again(sess);
             return out.push(Effect::Alarm { after: AGAIN, alarm });
         }
+        let server = s.server;
         // Served to its end at once: its last line is its answer.
         let settled = end == DialEnd::Ok;
         if settled {
             self.figures.of_listener(&s.listener).passed += 1;
             self.over(sess);
         }
+        self.meets(server, end, out);
         self.tell(Input::DialEnded { sess, dial, end, settled, report }, out);
     }
 
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -1,7 +1,7 @@
 //! What relay scenarios are played against.
 //! `Program` is the reducer without sockets. Backends are named as in the list; a site line may say
 //! `known=NAME,NAME` for the list that the relay starts with, `after` that another process has its place,
-//! `told` where the list comes unasked, `probes`.
+//! `told` where the list comes unasked, `probes`, `keeps` where what it must know is kept.
 //! Inputs, each with `stalled` behind it where no alarm could go off before it:
 //!   `came FIRST..LAST`, `part FIRST..LAST`, `ping CONN`, `odd CONN`,
 //!   `ask SESS LISTENER [wait=MS] [at=NAME] [mark=ID]`,
@@ -82,6 +82,7 @@
     known: Vec<(String, String)>,
     told: bool,
     probes: bool,
+    keeps: bool,
     after: bool,
     /// The newest watch.
     watch: u32,
@@ -98,6 +99,9 @@
     fn text(&self, discovery: &str) -> Value {
         let mut text = text("127.0.0.1:1", discovery, &self.known);
         text["settings"]["Ceilings"]["MayProbe"] = json!(self.probes);
+        if self.keeps {
+            text["state"] = json!("state");
+        }
         if self.told {
             text["settings"]["Discovery"] = json!("automatic");
         }
@@ -288,6 +292,7 @@
         let known = option(words, "known").ok_or("a site line says known=NAME,NAME")?;
         self.told = words.contains(&"told");
         self.probes = words.contains(&"probes");
+        self.keeps = words.contains(&"keeps");
         self.after = words.contains(&"after");
         self.known = known.split(',').map(|name| (name.to_string(), addr(name))).collect();
         Ok(())
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -234,8 +234,8 @@
 
 /// Checks effects against the lines that ask for them; probes, alarms and the like only where asked for.
 fn check(told: &[String], wanted: &[&str]) -> Result<(), Fault> {
-    const ASIDE: [&str; 9] =
-        ["probe", "alarm", "ask", "watch", "unwatch", "forget", "ping", "visit", "gossip"];
+    const ASIDE: [&str; 10] =
+        ["keep", "probe", "alarm", "ask", "watch", "unwatch", "forget", "ping", "visit", "gossip"];
     let aside = |l: &str| ASIDE.contains(&l.split(' ').next().unwrap_or(""));
     let told: Vec<&str> =
         told.iter().map(String::as_str).filter(|l| wanted.contains(l) || !aside(l)).collect();
