The way back in words, and a power cut on sockets with links cut meanwhile

Need: staff are to see how far a relay is, and the program itself is to be proven as it returns. Measured: no rule broken, no dial to a server that any had been told to leave, nobody falsely gone, all whole in the end.

--- a/fleet/src/status.rs
+++ b/fleet/src/status.rs
@@ -19,6 +19,10 @@
     pub believes: String,
     /// How much it doubts itself, from 0 to 8.
     pub doubt: u32,
+    /// How far the relay is on its way back: `dark`, `remembering`, `asking`, `trickle`, `open`. Its own word on its
+    /// servers, which membership knows nothing of.
+    #[serde(default)]
+    pub returning: String,
     /// Another relay of this one's name, and whether that one holds the name.
     pub twin: Option<Twin>,
     pub dropped: BTreeMap<String, u64>,
@@ -106,6 +110,7 @@
             hears: self.hears(),
             believes: believes.to_string(),
             doubt: self.health(),
+            returning: String::new(),
             twin: self.twin().map(|(addr, start)| Twin {
                 addr: addr.to_string(),
                 start,
--- a/lab/tests/fleet.rs
+++ b/lab/tests/fleet.rs
@@ -7,11 +7,11 @@
 const LAB: &str = env!("CARGO_BIN_EXE_hallrelay-lab");
 const BASE: &str = include_str!("troubles/base.toml");
 
-fn rehearse(name: &str, count: usize, length: u32, more: &str) -> (Outcome, Option<i32>) {
+fn rehearse(name: &str, relays: &str, length: u32, more: &str) -> (Outcome, Option<i32>) {
     let folder = std::env::temp_dir().join(format!("hallrelay-lab-{}-{name}", std::process::id()));
     _ = std::fs::remove_dir_all(&folder);
     std::fs::create_dir_all(&folder).expect("a folder");
-    let text = BASE.replace("count = 2", &format!("count = {count}\nfleet = true"));
+    let text = BASE.replace("count = 2", &format!("{relays}\nfleet = true"));
     let text = text.replace("length_s = 24", &format!("length_s = {length}"));
     let path = folder.join("day.toml");
     std::fs::write(&path, text + more).expect("a scenario");
@@ -67,7 +67,7 @@
 length_s = 30
 relays = [1]
 "#;
-    let (o, code) = rehearse("cuts", 5, 30, more);
+    let (o, code) = rehearse("cuts", "count = 5", 30, more);
     let fleet = o.fleet.as_ref().expect("they know each other");
     assert_eq!((&fleet.findings, &o.breaches, code), (&vec![], &vec![], Some(0)), "{:?}", o.log);
     // Who stood still, who died, who left: told apart, and known to those who could.
@@ -104,7 +104,7 @@
 every_s = 0.8
 relays = [5]
 "#;
-    let (o, code) = rehearse("halves", 6, 36, more);
+    let (o, code) = rehearse("halves", "count = 6", 36, more);
     let fleet = o.fleet.as_ref().expect("they know each other");
     assert_eq!((&fleet.findings, &o.breaches, code), (&vec![], &vec![], Some(0)), "{:?}", o.log);
     assert!(held(&o, "relay-0", "gone") >= 2 && held(&o, "relay-3", "gone") >= 2, "{:?}", fleet.beliefs);
@@ -113,6 +113,53 @@
     assert!(lost > 50 && damaged > 50 && sent >= arrived, "{:?}", fleet.datagrams);
 }
 
+/// Relays, servers and list service go dark at once, twice for the relays; as they return two relays are cut off from
+/// each other. Verdicts by the rules, those about drains told before the cut among them.
+#[test]
+fn power_is_lost_and_returns_while_links_are_cut() {
+    let more = r#"
+[[trouble]]
+kind = "drain"
+at_s = 2
+length_s = 20
+share = 0.25
+[[trouble]]
+kind = "crash"
+at_s = 8
+length_s = 4
+share = 1
+[[trouble]]
+kind = "list-down"
+at_s = 8
+length_s = 14
+[[trouble]]
+kind = "relay-killed"
+at_s = 8
+length_s = 3
+share = 1
+[[trouble]]
+kind = "relay-killed"
+at_s = 14
+length_s = 2
+relays = [0, 2]
+[[trouble]]
+kind = "link-cut"
+at_s = 11
+length_s = 6
+from = [0]
+to = [1]
+"#;
+    let relays = "count = 4\nstate = true\nknown = \"first\"\nretry_after_ms = 1500";
+    let (o, code) = rehearse("power", relays, 32, more);
+    let fleet = o.fleet.as_ref().expect("they know each other");
+    assert_eq!((&fleet.findings, &o.breaches, code), (&vec![], &vec![], Some(0)), "{:?}", o.log);
+    assert_eq!((o.stale_dials, o.cold_falls), (0, 0), "{:?}", o.log);
+    assert_eq!(o.relays.iter().map(|r| r.starts).sum::<u32>(), 10);
+    assert_eq!(last_words(&o), ["whole"; 4], "{:?}", fleet.lanes);
+    let last = o.samples.last().expect("some");
+    assert!(last.open > 20, "clients are served again: {last:?}");
+}
+
 /// What is wrong is named with file, line and key, and nothing starts.
 #[test]
 fn faulty_troubles_between_relays() {
--- a/recovery/tests/trust.rs
+++ b/recovery/tests/trust.rs
@@ -1,7 +1,7 @@
 //! What is trusted of a store, case by case.
 use hallrelay::types::{Micros, Phase};
 use hallrelay_config::list::{Instance, List};
-use hallrelay_recovery::{recover, Fact, Kept, Recovered, Stored, Turn};
+use hallrelay_recovery::{recover, Fact, Kept, Recovered, Returning, Stored, Turn, View};
 
 const SECOND: Micros = 1_000_000;
 const NOW: Micros = 1_800_000_000 * SECOND;
@@ -136,3 +136,19 @@
     assert_eq!((phase(&r), r.forgotten), (Some(Phase::Ready), vec![(Fact::Server, "s".to_string())]));
     assert_eq!(phase(&with(&known, &[own(), gone(NOW + week)])), Some(Phase::Gone));
 }
+
+#[test]
+fn the_way_back_in_words() {
+    let view = |servers, cold, spoken, hearsay| View { servers, cold, spoken, hearsay };
+    let cases = [
+        (view(0, 0, true, true), "dark"),
+        (view(3, 0, false, false), "remembering"),
+        (view(3, 0, false, true), "asking"),
+        (view(3, 2, false, true), "trickle"),
+        (view(4, 2, true, false), "open"),
+        (view(3, 0, true, true), "open"),
+    ];
+    for (view, word) in cases {
+        assert_eq!(Returning::of(&view).word(), word, "{view:?}");
+    }
+}
--- a/relay/src/reducer/fleet.rs
+++ b/relay/src/reducer/fleet.rs
@@ -107,7 +107,9 @@
     }
 
     pub(super) fn fleet_status(&self) -> Option<Box<Status>> {
-        self.fleet.as_ref().map(|fleet| Box::new(fleet.status(self.now)))
+        let mut status = self.fleet.as_ref()?.status(self.now);
+        status.returning = self.returning().word().to_string();
+        Some(Box::new(status))
     }
 
     pub(super) fn fleet_figures(&self) -> Option<Box<FleetFigures>> {
--- a/relay/src/reducer/keep.rs
+++ b/relay/src/reducer/keep.rs
@@ -1,8 +1,8 @@
 //! What a relay keeps across restarts: what goes to the store as it happens, and what a start makes of it.
 use super::{note, Effect, Reducer};
 use hallrelay::types::{Input, Memory, Micros, Phase, ServerId, SessId};
-use hallrelay_config::list::List;
-use hallrelay_recovery::{recover, Kept, Recovered, Stored};
+use hallrelay_config::list::{Instance, List};
+use hallrelay_recovery::{recover, Kept, Recovered, Returning, Stored, View};
 
 impl Reducer {
     /// What the store held, told before the start.
@@ -46,6 +46,19 @@
         }
     }
 
+    /// How far this relay is on its way back.
+    pub(super) fn returning(&self) -> Returning {
+        let warm_up = self.node.site.facts.cold;
+        let there = self.servers.values().map(|v| &v.told).filter(|told| told.phase == Phase::Ready);
+        let cold = |told: &&Instance| told.came_up > 0 && self.now < told.came_up + warm_up;
+        Returning::of(&View {
+            servers: there.clone().count(),
+            cold: there.filter(cold).count(),
+            spoken: self.spoken.is_some(),
+            hearsay: self.hearsay > 0,
+        })
+    }
+
     /// This process is the relay from now on: whose the store is, and its start number.
     pub(super) fn keep_own(&mut self, start: u64, out: &mut Vec<Effect>) {
         if self.node.state.is_some() {
--- a/relay/src/status.rs
+++ b/relay/src/status.rs
@@ -61,6 +61,9 @@
         "fleet {}, as {} believes: {}; it hears {} of {} configured (itself among them)",
         s.fleet, s.name, s.believes, s.hears, s.configured
     );
+    if !s.returning.is_empty() && s.returning != "open" {
+        _ = writeln!(t, "its service is on its way back: {}", s.returning);
+    }
     if let Some(twin) = &s.twin {
         let holds = if twin.holds { "that one holds the name" } else { "this one holds the name" };
         _ = writeln!(t, "another relay at {} has this one's name; {holds}, as the later start", twin.addr);
--- a/relay/tests/recovery.rs
+++ b/relay/tests/recovery.rs
@@ -217,6 +217,9 @@
     let other = second.site.start();
     other.until_ready();
     until("the other one heard of it", || other.figure("known_backends") == Some(3));
+    let returning =
+        |word: &str| other.call("GET", "/v1/fleet").1.contains(&format!("\"returning\":\"{word}\""));
+    assert!(returning("asking"), "it says by whose word it goes");
     let before = [f.servers[0].opened(), third.opened()];
     assert_eq!(sessions(second.site.listen, 60), 60);
     assert_eq!(f.servers[0].opened(), before[0], "nothing new to one that drains");
