--- a/emulator/src/audit.rs
+++ b/emulator/src/audit.rs
@@ -93,7 +93,8 @@
     /// Dues by time, to find what was never answered.
     dues: BTreeMap<(Micros, u64), ()>,
     known: Vec<Vec<Known>>,
-    /// What each relay was told in an earlier life of its process and nothing since: since when a server is shut.
+    /// What each relay was told in an earlier life of its process and nothing since: since when a server is
+    /// shut.
     before: Vec<Vec<Option<Micros>>>,
     /// Whether relays keep what they must know, so that being told outlives a process.
     keeps: bool,
--- a/emulator/src/links.rs
+++ b/emulator/src/links.rs
@@ -17,8 +17,8 @@
         Ways { count, on: vec![false; count * count] }
     }
 
-    /// From any of some to any of others, and back unless it is one way; all stand for themselves where a list
-    /// is empty.
+    /// From any of some to any of others, and back unless it is one way; all stand for themselves where a
+    /// list is empty.
     pub fn between(count: usize, from: &[usize], to: &[usize], one_way: bool) -> Ways {
         let all: Vec<usize> = (0..count).collect();
         let or_all = |some: &[usize]| if some.is_empty() { all.clone() } else { some.to_vec() };
@@ -184,8 +184,8 @@
         }
     }
 
-    /// Whether a stream from one relay to another would stand just now, and how much later its bytes come; what
-    /// is lost, doubled or damaged in a part mends itself there.
+    /// Whether a stream from one relay to another would stand just now, and how much later its bytes come;
+    /// what is lost, doubled or damaged in a part mends itself there.
     pub fn stream(&mut self, from: usize, to: usize) -> Option<Micros> {
         let mut later = self.way;
         for (ways, harm) in self.harms.values() {
--- a/emulator/src/node.rs
+++ b/emulator/src/node.rs
@@ -41,11 +41,13 @@
         })
         .collect();
     let retry_after = s.relays.retry_after_ms.us();
+    let longest = if retry_after > 0 { retry_after } else { 1_500_000 };
     let messages: Vec<f64> = s.listeners.iter().map(|l| ms(l.message_target_ms.us())).collect();
     json!({
         "Listeners": listeners,
         "Ceilings": {"MayProbe": s.relays.may_probe, "MostDials": s.relays.most_dials, "MaxOpen": 1_000_000,
-            "RetryAfter": retry_after > 0, "MaxRetryAfter": ms(if retry_after > 0 { retry_after } else { 1_500_000 }), "ConnectTimeout": ms(s.relays.connect_timeout_ms.us())},
+            "RetryAfter": retry_after > 0, "MaxRetryAfter": ms(longest),
+            "ConnectTimeout": ms(s.relays.connect_timeout_ms.us())},
         "Rules": {"Cold": ms(s.servers.cold_s.us()), "ColdFrom": s.servers.cold_from.0,
             "FallMultiple": s.rules.fall_multiple.0, "Fall": ms(s.rules.fall_s.us()),
             "DrainGrace": ms(s.rules.drain_grace_ms.us()), "AskWithin": ms(s.rules.ask_within_s.us())},
--- a/fleet/src/membership/hear.rs
+++ b/fleet/src/membership/hear.rs
@@ -40,8 +40,8 @@
         }
     }
 
-    /// Guards a relay that met few of a fleet that all started together: the others are strangers to it, so it
-    /// hears none of their news. A member whom it knows tells it who they are; nobody is believed unseen.
+    /// Guards a relay that met few of a fleet that all started together: the others are strangers to it, so
+    /// it hears none of their news. A member whom it knows tells it who they are; nobody is believed unseen.
     fn ask_about_strangers(&mut self) {
         if self.asked_about.is_none_or(|at| self.now >= at + STRANGERS) && !self.there.is_empty() {
             self.asked_about = Some(self.now);
--- a/fleet/src/membership/mod.rs
+++ b/fleet/src/membership/mod.rs
@@ -12,8 +12,8 @@
 
 const MS: Micros = 1_000;
 
-/// One member is probed in each, and each member by one. Four in ten of a second find a dead one within 0.8 s,
-/// and cost two datagrams each way.
+/// One member is probed in each, and each member by one. Four in ten of a second find a dead one within 0.8
+/// s, and cost two datagrams each way.
 pub const PERIOD: Micros = 400 * MS;
 /// A ping that brings nothing by then goes out once more. A hundred times a closed network's way; what a busy
 /// core takes beyond that is met by the health.
@@ -33,16 +33,16 @@
 /// Each tells an item so many times the (decimal, rounded up) logarithm of the members: memberlist's 4 leaves
 /// less than one in ten thousand untold, and the exchange tells those.
 const TOLD: u32 = 4;
-/// Few as they are: what a bridge between two halves tells goes the wrong way half the time, and four tellings
-/// all did so once in 16 refutals, which buried members on the other side.
+/// Few as they are: what a bridge between two halves tells goes the wrong way half the time, and four
+/// tellings all did so once in 16 refutals, which buried members on the other side.
 const TOLD_LEAST: u32 = 12;
 /// The least time in which a suspect may refute, and by the logarithm of the members, as its refutal takes
 /// some rounds of `SPREAD` there and back. Lifeguard's most is six times that, less with each confirmation.
 const REFUTE: Micros = 800 * MS;
 const REFUTE_BY_LOG: Micros = 400 * MS;
 const REFUTE_MOST: u64 = 6;
-/// Then each who would bury it pings it itself, so often, so far apart: who missed the refutal hears it now. Of
-/// 2,252 accusations in ten hours of 300 relays five were answered where somebody did not hear it.
+/// Then each who would bury it pings it itself, so often, so far apart: who missed the refutal hears it now.
+/// Of 2,252 accusations in ten hours of 300 relays five were answered where somebody did not hear it.
 const CALLS: u32 = 2;
 const CALL: Micros = 100 * MS;
 const CONFIRMED: usize = 3;
--- a/fleet/src/membership/probe.rs
+++ b/fleet/src/membership/probe.rs
@@ -20,9 +20,10 @@
         self.seq
     }
 
-    /// Whom it probes in this period. All relays go by the same turn of the clock: each probes the one that stands
-    /// so many places behind it, so each is probed once in every period, by another one each time, and each
-    /// probes all in a round. Where clocks or views differ the turns do, and some wait a period or two longer.
+    /// Whom it probes in this period. All relays go by the same turn of the clock: each probes the one that
+    /// stands so many places behind it, so each is probed once in every period, by another one each time, and
+    /// each probes all in a round. Where clocks or views differ the turns do, and some wait a period or two
+    /// longer.
     fn next_of_round(&self) -> Option<Rc<str>> {
         let others = self.there.len();
         if others == 0 {
@@ -92,7 +93,8 @@
     fn ask_others(&mut self, seq: u32, name: &Rc<str>, out: &mut Vec<Effect>) {
         let Some(addr) = self.members.get(name).map(|m| m.claim.addr) else { return };
         let mut others = self.some(ASKED, Some(name));
-        // By whom it was heard last, where the direct way does not go: a bridge between two halves, most likely.
+        // By whom it was heard last, where the direct way does not go: a bridge between two halves, most
+        // likely.
         let by = self.members.get(name).and_then(|m| m.heard_by.clone());
         if let Some(by) = by.filter(|by| self.is_there(by) && !others.contains(by)) {
             others.truncate(ASKED - 1);
--- a/fleet/src/membership/spread.rs
+++ b/fleet/src/membership/spread.rs
@@ -158,7 +158,8 @@
         if let Some(name) = gone.get(at) {
             let addr = self.members[name].claim.addr;
             // One that has started anew, and whose configured addresses are all dead, knows nobody: to it the
-            // ping is a stranger's. A stream tells it who asks; of all who knock about one does that at a time.
+            // ping is a stranger's. A stream tells it who asks; of all who knock about one does that at a
+            // time.
             if self.below(self.there.len() + 1) == 0 {
                 return self.visit(addr, out);
             }
--- a/fleet/src/message.rs
+++ b/fleet/src/message.rs
@@ -44,7 +44,8 @@
     /// All that the sender holds; wants the same back.
     Exchange,
     Exchanged,
-    /// Wants what the other holds of the list of servers; the users' own bytes, of which nothing here is read.
+    /// Wants what the other holds of the list of servers; the users' own bytes, of which nothing here is
+    /// read.
     Recall,
     Recalled {
         told: Vec<u8>,
--- a/fleet/src/status.rs
+++ b/fleet/src/status.rs
@@ -19,8 +19,8 @@
     pub believes: String,
     /// How much it doubts itself, from 0 to 8.
     pub doubt: u32,
-    /// How far the relay is on its way back: `dark`, `remembering`, `asking`, `trickle`, `open`. Its own word on its
-    /// servers, which membership knows nothing of.
+    /// How far the relay is on its way back: `dark`, `remembering`, `asking`, `trickle`, `open`. Its own word
+    /// on its servers, which membership knows nothing of.
     #[serde(default)]
     pub returning: String,
     /// Another relay of this one's name, and whether that one holds the name.
@@ -43,7 +43,8 @@
     pub addr: String,
     /// `alive`, `suspect`, `gone`, `left`.
     pub state: String,
-    /// How long it has been so, and how long ago it was heard itself, in milliseconds; none where it never was.
+    /// How long it has been so, and how long ago it was heard itself, in milliseconds; none where it never
+    /// was.
     pub since_ms: u64,
     pub heard_ms: Option<u64>,
     /// Who told of it last where that was not itself, and who accuses it.
--- a/lab/src/members.rs
+++ b/lab/src/members.rs
@@ -61,7 +61,8 @@
     pub known_to_all: Knew,
     /// Deaths that somebody did not know of till the relay was back.
     pub missed: usize,
-    /// Members that somebody called gone though they ran; accusations that were answered. Both in all the hours.
+    /// Members that somebody called gone though they ran; accusations that were answered. Both in all the
+    /// hours.
     pub falsely_gone: u64,
     pub accused: u64,
     /// Each second, of each relay in the mean, once all have met.
--- a/lab/src/virt/sessions.rs
+++ b/lab/src/virt/sessions.rs
@@ -247,7 +247,8 @@
         }
         match word {
             Word::Up => self.tell(relay, way, Event::Up { sess, dial }),
-            // Nine of ten lines: told at once, as a way of their own would change nothing but the time it takes.
+            // Nine of ten lines: told at once, as a way of their own would change nothing but the time it
+            // takes.
             Word::Load(load) if up => self.step(relay, Event::Load { sess, load }),
             Word::Load(load) => self.tell(relay, way, Event::Load { sess, load }),
             Word::Busy => self.dial_ends(conn, way, DialEnd::Full),
--- a/lab/tests/fleet.rs
+++ b/lab/tests/fleet.rs
@@ -1,5 +1,6 @@
 //! Real processes that know each other, and the rig between them: ways cut and split, a process that stands
-//! still, one that is killed, one in a loop, one replaced. Verdicts by counts and order, never by tight times.
+//! still, one that is killed, one in a loop, one replaced. Verdicts by counts and order, never by tight
+//! times.
 use hallrelay_emulator::service::Outcome;
 use std::path::PathBuf;
 use std::process::{Command, Stdio};
@@ -113,8 +114,8 @@
     assert!(lost > 50 && damaged > 50 && sent >= arrived, "{:?}", fleet.datagrams);
 }
 
-/// Relays, servers and list service go dark at once, twice for the relays; as they return two relays are cut off from
-/// each other. Verdicts by the rules, those about drains told before the cut among them.
+/// Relays, servers and list service go dark at once, twice for the relays; as they return two relays are cut
+/// off from each other. Verdicts by the rules, those about drains told before the cut among them.
 #[test]
 fn power_is_lost_and_returns_while_links_are_cut() {
     let more = r#"
--- a/lab/tests/troubles.rs
+++ b/lab/tests/troubles.rs
@@ -1,10 +1,10 @@
-//! Plays each file of `troubles/` in virtual time, behind `base.toml`: all rules must hold, the same seed must
-//! give the same day to the byte, and what the file expects must come of it. Lines of the notation:
+//! Plays each file of `troubles/` in virtual time, behind `base.toml`: all rules must hold, the same seed
+//! must give the same day to the byte, and what the file expects must come of it. Lines of the notation:
 //!   `# set KEY = VALUE`                          changes a key of the scenario
 //!   `# expect MEASURE < NUMBER [from A to B]`    or `>`; service can be that of some seconds
 //!   `# expect log TEXT`                          a line of the log holds this
-//! Measures: service, refused, failed, moves, breaks, dials, open, cold_falls, starts (of relays), stale (dials to
-//! servers that a relay had been told to leave before it restarted); of relays
+//! Measures: service, refused, failed, moves, breaks, dials, open, cold_falls, starts (of relays), stale
+//! (dials to servers that a relay had been told to leave before it restarted); of relays
 //! that know each other: findings (beliefs that were wrong), gone (times that one called another so), deaths
 //! (known to one other each), last_known (seconds till the last one knew), damaged (datagrams),
 //! whole_at_end (relays that then call the fleet whole).
--- a/recovery/src/trust.rs
+++ b/recovery/src/trust.rs
@@ -22,8 +22,8 @@
 
 const DAY: Micros = 86_400_000_000;
 
-/// The fact, how old it may be, what holds where its age is unknown. What outranks each, and what holds where two
-/// disagree, stands at `recover`'s steps; the same rows, with their sources, are in `docs/recovery.md`.
+/// The fact, how old it may be, what holds where its age is unknown. What outranks each, and what holds where
+/// two disagree, stands at `recover`'s steps; the same rows, with their sources, are in `docs/recovery.md`.
 const TABLE: [(Fact, Age, Unknown); 4] = [
     (Fact::Own, Age::Any, Unknown::Holds),
     (Fact::List, Age::Any, Unknown::Holds),
@@ -57,8 +57,8 @@
     pub words: Vec<String>,
 }
 
-/// How long ago something was, by the system's clock; none where that can't be trusted: it lies in the future, or
-/// the clock stands before the last time that was written down.
+/// How long ago something was, by the system's clock; none where that can't be trusted: it lies in the
+/// future, or the clock stands before the last time that was written down.
 fn age(now: Micros, then: Micros, last: Micros) -> Option<Micros> {
     if now < last {
         return None;
@@ -77,8 +77,8 @@
     }
 }
 
-/// What a relay of a name begins with at a time of the system's clock: `known`, the list that its configuration
-/// tells; `discovery`, where it asks for the list.
+/// What a relay of a name begins with at a time of the system's clock: `known`, the list that its
+/// configuration tells; `discovery`, where it asks for the list.
 ///
 /// The store of another relay tells nothing. Of two lists from one source the later version holds; between
 /// two sources, whose versions mean nothing to each other, the configuration's. A server that was told to
--- a/relay/src/net/store.rs
+++ b/relay/src/net/store.rs
@@ -1,5 +1,5 @@
-//! The store's thread: opened beside the start, tried again where it fails, closed as another process takes the
-//! place. Nothing here ever makes the relay wait longer than the limits say.
+//! The store's thread: opened beside the start, tried again where it fails, closed as another process takes
+//! the place. Nothing here ever makes the relay wait longer than the limits say.
 use hallrelay_recovery::fact::VERSION;
 use hallrelay_recovery::{Kept, Stored};
 use hallrelay_store::writer::{Health, Writer};
--- a/relay/src/reducer/evidence.rs
+++ b/relay/src/reducer/evidence.rs
@@ -1,8 +1,8 @@
-//! What a server's own answers tell of its starts while discovery says nothing: one that took no connection and
-//! then answers has most likely started in between, and is cold. Guards rule 4 after a power loss, when nobody
-//! tells of starts and a list that is old calls all servers warm; it guards a crash during an outage of the list
-//! service too. It hurts where a network was cut for a while: those servers are spared for one warm-up, till
-//! discovery speaks.
+//! What a server's own answers tell of its starts while discovery says nothing: one that took no connection
+//! and then answers has most likely started in between, and is cold. Guards rule 4 after a power loss, when
+//! nobody tells of starts and a list that is old calls all servers warm; it guards a crash during an outage
+//! of the list service too. It hurts where a network was cut for a while: those servers are spared for one
+//! warm-up, till discovery speaks.
 use super::Reducer;
 use hallrelay::types::{DialEnd, Input, ListKind, ServerId};
 
--- a/relay/src/reducer/hearsay.rs
+++ b/relay/src/reducer/hearsay.rs
@@ -1,5 +1,5 @@
-//! What other relays tell of the list while its service is dark. Their word may name a backend to try and shut
-//! one; it can't open one that this relay was told to leave, and can't call one gone.
+//! What other relays tell of the list while its service is dark. Their word may name a backend to try and
+//! shut one; it can't open one that this relay was told to leave, and can't call one gone.
 use super::{note, Alarm, Effect, Reducer};
 use hallrelay::types::{Micros, Phase};
 use hallrelay_config::list::{self, Instance, List};
@@ -9,9 +9,9 @@
 
 /// A start waits so long for discovery before it asks others: it answers within some ms where it is there.
 const FIRST: Micros = 500_000;
-/// One member is asked each half second till one told to whom discovery had spoken, then each ten seconds. Who
-/// started as lately knows no more than its own configuration: with a stop at the first answer half of the dials
-/// to servers that drained went on. 300 relays that wait ask each other twice a second in the mean.
+/// One member is asked each half second till one told to whom discovery had spoken, then each ten seconds.
+/// Who started as lately knows no more than its own configuration: with a stop at the first answer half of
+/// the dials to servers that drained went on. 300 relays that wait ask each other twice a second in the mean.
 const AGAIN: Micros = 500_000;
 const LATER: Micros = 10_000_000;
 /// Servers told to be gone that are remembered as such; the first by name are forgotten where there are more.
--- a/relay/src/reducer/keep.rs
+++ b/relay/src/reducer/keep.rs
@@ -33,6 +33,9 @@
 
     /// Turns that were spent before count as spent.
     pub(super) fn remember_turns(&mut self, r: &Recovered, out: &mut Vec<Effect>) {
+        if r.turns.is_empty() {
+            return;
+        }
         let (step, now) = self.module.memory(self.now);
         // Of the others as the module begins with them.
         let mut servers: Vec<Memory> = now.into_iter().map(|m| Memory { report: None, ..m }).collect();
@@ -41,9 +44,7 @@
             let spent = servers.iter_mut().find(|m| m.server == *server);
             spent.into_iter().for_each(|m| m.turn = (turn.ago, 1.0));
         }
-        if !r.turns.is_empty() {
-            self.tell(Input::Remember { step, servers }, out);
-        }
+        self.tell(Input::Remember { step, servers }, out);
     }
 
     /// How far this relay is on its way back.
@@ -66,8 +67,8 @@
         }
     }
 
-    /// What discovery tells anew, before it is taken: servers that differ from what was told of them, and those that a
-    /// whole list leaves out.
+    /// What discovery tells anew, before it is taken: servers that differ from what was told of them, and
+    /// those that a whole list leaves out.
     pub(super) fn keep_list(&mut self, list: &List, out: &mut Vec<Effect>) {
         if self.node.state.is_none() {
             return;
@@ -89,8 +90,8 @@
         kept.into_iter().for_each(|one| self.keep(one, out));
     }
 
-    /// Guards rule 4 against a relay that crashes again and again: a turn at a cold server is written down before
-    /// the dial that spends it goes out.
+    /// Guards rule 4 against a relay that crashes again and again: a turn at a cold server is written down
+    /// before the dial that spends it goes out.
     pub(super) fn keep_turn(&mut self, server: ServerId, sess: SessId, out: &mut Vec<Effect>) {
         if self.node.state.is_none() {
             return;
--- a/relay/tests/recovery.rs
+++ b/relay/tests/recovery.rs
@@ -1,5 +1,6 @@
-//! Processes that are killed outright and start again with what they kept, with the list service dark, with a store
-//! that is damaged, another relay's, or can't be written. Verdicts by what reaches which backend, and by counts.
+//! Processes that are killed outright and start again with what they kept, with the list service dark, with a
+//! store that is damaged, another relay's, or can't be written. Verdicts by what reaches which backend, and
+//! by counts.
 mod common;
 
 use common::{bound, free, listener, until, Client, Counted, Relay, Site};
@@ -189,8 +190,8 @@
     assert!(sum(&with) >= 1 && sum(&with) < sum(&without), "{with:?} beside {without:?}");
 }
 
-/// A relay that starts while the list service is dark asks another one: whom that calls draining it leaves, a server
-/// that it never heard of it tries, and whom it was told to leave itself nobody's word brings back.
+/// A relay that starts while the list service is dark asks another one: whom that calls draining it leaves, a
+/// server that it never heard of it tries, and whom it was told to leave itself nobody's word brings back.
 #[test]
 fn another_relay_tells_the_list_while_its_service_is_dark() {
     let (mut f, mut second) = (fixture("hearsay"), fixture("hearsay-second"));
--- a/store/examples/measure.rs
+++ b/store/examples/measure.rs
@@ -1,4 +1,5 @@
-//! What the store costs: recovery of a million records, a value put while a disk writes, a batch made durable.
+//! What the store costs: recovery of a million records, a value put while a disk writes, a batch made
+//! durable.
 //!   cargo run --release -p hallrelay-store --example measure [FOLDER]
 use hallrelay_store::writer::Writer;
 use hallrelay_store::{Folder, Key, Store, Value};
--- a/store/src/disk.rs
+++ b/store/src/disk.rs
@@ -4,8 +4,8 @@
 use std::io::{self, Read, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
 
-/// Files of one folder, by name. A write is durable only after a `sync` of its file, and a new name only after
-/// a `sync_names`. Errors are those of the system; what a failed write left behind is unknown.
+/// Files of one folder, by name. A write is durable only after a `sync` of its file, and a new name only
+/// after a `sync_names`. Errors are those of the system; what a failed write left behind is unknown.
 pub trait Disk {
     /// A file's bytes, `most` of them at most; none where there is no file of that name.
     fn read(&mut self, name: &str, most: u64) -> io::Result<Option<Vec<u8>>>;
--- a/store/src/faulty.rs
+++ b/store/src/faulty.rs
@@ -91,7 +91,8 @@
         }
     }
 
-    /// The disk as it is found after the power was cut: what was synced, and of the rest whatever chance left.
+    /// The disk as it is found after the power was cut: what was synced, and of the rest whatever chance
+    /// left.
     pub fn cut(mut self) -> Faulty {
         let rng = &mut self.rng;
         for file in &mut self.files {
@@ -217,7 +218,8 @@
         let fails = self.rng.below(1000) < self.odds.sync_fails.into();
         let file = self.file(name);
         if fails {
-            // What was to be written back is forgotten: it reads as written till the cut, and is not there then.
+            // What was to be written back is forgotten: it reads as written till the cut, and is not there
+            // then.
             file.unsynced.clear();
             return Err(error("a sync failed"));
         }
--- a/store/src/log.rs
+++ b/store/src/log.rs
@@ -130,8 +130,8 @@
     Some(entries)
 }
 
-/// The checksum covers the length, and the place of the record, so that a record of an earlier life of the file
-/// is none here.
+/// The checksum covers the length, and the place of the record, so that a record of an earlier life of the
+/// file is none here.
 fn sum(generation: u64, at: u64, body: &[u8]) -> u32 {
     let mut hasher = crc32fast::Hasher::new();
     hasher.update(&generation.to_le_bytes());
@@ -195,8 +195,8 @@
 }
 
 impl<D: Disk> Store<D> {
-    /// Opens a store of `most` bytes, or makes an empty one. A file that is no store is refused and stays as it
-    /// is; what is torn at the end of one is cut off.
+    /// Opens a store of `most` bytes, or makes an empty one. A file that is no store is refused and stays as
+    /// it is; what is torn at the end of one is cut off.
     pub fn open(mut disk: D, most: u64) -> Result<Store<D>, Fault> {
         let most = most.max(4 * COMPACT);
         // What was to take the log's place and did not: the log holds all of it. It is in nobody's way.
@@ -229,8 +229,8 @@
         (store.generation, store.end) = (read.generation, read.end);
         store.found = Found { records: read.records, torn: len - read.end, generation: read.generation };
         read.entries.into_iter().for_each(|(key, value)| store.hold(key, value));
-        // What a process before this one wrote last may be in the system's memory alone; on a disk that can't be
-        // written now it is cut off or synced before anything is promised.
+        // What a process before this one wrote last may be in the system's memory alone; on a disk that can't
+        // be written now it is cut off or synced before anything is promised.
         store.doubtful = len > read.end || store.disk.sync(LOG).is_err();
         Ok(store)
     }
@@ -259,8 +259,8 @@
         }
     }
 
-    /// Writes a batch, whole or not at all, and returns once it is durable. After a fault the store holds what it
-    /// held, and the next commit begins by cutting off what the failed one may have left.
+    /// Writes a batch, whole or not at all, and returns once it is durable. After a fault the store holds
+    /// what it held, and the next commit begins by cutting off what the failed one may have left.
     pub fn commit(&mut self, batch: Vec<Entry>) -> Result<(), Fault> {
         if batch.is_empty() {
             return Ok(());
@@ -343,8 +343,8 @@
         at += bytes.len() as u64;
         self.disk.sync(NEXT)?;
         self.disk.rename(NEXT, LOG)?;
-        // From here on the new log is the one that is written to, whichever name a cut now leaves: both hold the
-        // same. Nothing is promised on it before its name is durable.
+        // From here on the new log is the one that is written to, whichever name a cut now leaves: both hold
+        // the same. Nothing is promised on it before its name is durable.
         (self.generation, self.end, self.doubtful, self.nameless) = (generation, at, false, true);
         self.settle()
     }
--- a/store/tests/cuts.rs
+++ b/store/tests/cuts.rs
@@ -1,5 +1,6 @@
-//! The store against a plain model: cut at every byte and at every step, on disks that go wrong in all the ways
-//! that `faulty` knows. Each restart must find a state that was really written, with all that was promised.
+//! The store against a plain model: cut at every byte and at every step, on disks that go wrong in all the
+//! ways that `faulty` knows. Each restart must find a state that was really written, with all that was
+//! promised.
 use hallrelay_store::faulty::{Faulty, Odds};
 use hallrelay_store::log::{inspect, LOG};
 use hallrelay_store::writer::Writer;
@@ -99,7 +100,8 @@
     }
 }
 
-/// What of a run is checked: a state that was really written, all that was promised, nothing of a batch alone.
+/// What of a run is checked: a state that was really written, all that was promised, nothing of a batch
+/// alone.
 fn restarts_well(disk: Faulty, promised: &State, maybe: Option<&State>, what: &str) -> Faulty {
     let store = Store::open(disk.cut(), MOST).unwrap_or_else(|e| panic!("{what}: {e}"));
     let found = held(&store);
@@ -180,7 +182,8 @@
                 let next = apply(&promised, &batch);
                 match store.commit(batch) {
                     Ok(()) => (promised, maybe) = (next, Vec::new()),
-                    // Until the next commit it may be there after a cut; never once one was promised after it.
+                    // Until the next commit it may be there after a cut; never once one was promised after
+                    // it.
                     Err(Fault::Disk(_)) => {
                         failed += 1;
                         maybe.push(next);
--- a/tests/helpers/fleet.rs
+++ b/tests/helpers/fleet.rs
@@ -1,13 +1,14 @@
-//! `Members` is membership alone, of relay `a`, started as number 5; relays have a letter each and are reached at
-//! addresses of their own. A site line may say `peers=b,c`, `relays=N`. Inputs, each with `stalled` behind it
-//! where no alarm could go off before it:
+//! `Members` is membership alone, of relay `a`, started as number 5; relays have a letter each and are
+//! reached at addresses of their own. A site line may say `peers=b,c`, `relays=N`. Inputs, each with
+//! `stalled` behind it where no alarm could go off before it:
 //!   `begin`, `yield`, `leave`, `drains`, `run`,
 //!   `says NAME ping|ack|nack|gossip [CLAIM ..]`, `says NAME ask OTHER`: an ack or nack is of the last ping,
 //!   `visits NAME [CLAIM ..]`, `returns NAME [CLAIM ..]`: whole tables by stream;
 //!   `rank=START.INCARNATION`, `at=NAME` (another's address), `name=NAME` (another's name) change who speaks.
 //! A claim is `NAME:STATE@START.INCARNATION[/ACCUSER]`.
 //! Effects: `ack NAME`, `nack NAME`, `asks NAME of OTHER`, `answers`, `answers nothing`, `open`, `shut`,
-//! `NAME is STATE` and `rank START.INCARNATION` where these have changed, `late`, `twin at NAME`; `ping NAME`,
+//! `NAME is STATE` and `rank START.INCARNATION` where these have changed, `late`, `twin at NAME`; `ping
+//! NAME`,
 //! `visit NAME` and `gossip` only where a line asks for them.
 use crate::{num, option, Fault, Subject};
 use hallrelay::types::Micros;
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1,5 +1,6 @@
 //! Plays text scenarios: those of `tests/scenarios/` against the module alone, of `tests/relay/` against the
-//! reducer without sockets, of `tests/fleet/` against membership alone, of `tests/loopback/` against the program over loopback. A scenario is some lines:
+//! reducer without sockets, of `tests/fleet/` against membership alone, of `tests/loopback/` against the
+//! program over loopback. A scenario is some lines:
 //!   `site NAME=VALUE ..`        facts that differ from the default site (first line, optional)
 //!   `MS INPUT ..`               an input at that time; alarms that are due are played before it
 //!   `=> EFFECT`                 what this must have led to: all effects on sessions, in order, or `none`
