A crowd of operators' connections no longer makes a good caller wait a second

Ruled out: the relay's own answer (its place is given up by the oldest at once). Change: the queue is as long as the clients'.

--- a/relay/src/net/serve.rs
+++ b/relay/src/net/serve.rs
@@ -80,7 +80,9 @@
     let listener = Rc::new(listener);
     let (to_calls, mut calls) = mpsc::channel(limits.callers);
     if let Some(place) = node.operator {
-        let listener = listen(place, limits.callers as u32)?;
+        // Guards a caller that comes behind a crowd: where the queue is full its first packet is dropped, and the
+        // next one comes a second later.
+        let listener = listen(place, BACKLOG)?;
         tokio::task::spawn_local(operator::run(listener, to_calls, hub.clone()));
     }
     let links = match &node.fleet {
