A relay of few sessions reads the whole fleet's silence, and spares who answers first

Cause: evidence.rs wanted two connections in a row not made at that very server; a relay of five sessions has rarely met it twice, took it for warm and, as it alone was not silent, sent all there. Ruled out: a wrong weight of a session at the first reading (the module's step falls to its least; mended it left 4 of 11). Change: six connections not made in a row at three servers and more, no answer in between, count as two at each.

--- a/relay/src/reducer/mod.rs
+++ b/relay/src/reducer/mod.rs
@@ -398,6 +398,7 @@
     informed: bool,
     /// Servers that discovery called gone, and which life of theirs.
     gone: BTreeMap<String, Micros>,
+    spell: evidence::Spell,
     /// What the process before this one holds still: connections, and sessions among them.
     shared: (usize, u32),
     /// Marks of sessions there.
@@ -424,6 +425,7 @@
             hearsay: 0,
             informed: false,
             gone: BTreeMap::new(),
+            spell: Default::default(),
             node,
             now: 0,
             sessions: BTreeMap::new(),
