--- a/agreement/src/node.rs
+++ b/agreement/src/node.rs
@@ -276,6 +276,10 @@
         self.term
     }
 
+    pub fn vote(&self) -> Option<Voter> {
+        self.vote
+    }
+
     pub fn own(&self) -> Voter {
         self.own
     }
--- a/checker/src/main.rs
+++ b/checker/src/main.rs
@@ -1,7 +1,9 @@
 //! `hallrelay-checker`: searches, and says what was found.
 use clap::Parser;
+use hallrelay_checker::releases::{self, Releases};
+use hallrelay_checker::search::Model;
 use hallrelay_checker::search::{search, Bounds, Found};
-use hallrelay_checker::voters::{Planted, Voters};
+use hallrelay_checker::voters::Planted;
 use std::process::ExitCode;
 use std::time::Instant;
 
@@ -9,7 +11,7 @@
 #[derive(Parser)]
 #[command(name = "hallrelay-checker", version)]
 struct Line {
-    /// One of the scenes: elections, grants, disks, unplanned, snapshots. All where none is named.
+    /// One of the scenes: elections, crashes, holders, leaders, disks, unplanned, snapshots, restarts, releases. All where none is named.
     scene: Vec<String>,
     /// Plants each known fault and wants it found.
     #[arg(long)]
@@ -22,10 +24,13 @@
     way_on: u64,
 }
 
+/// The scene that is not of voters.
+const RELEASES: &str = "releases";
+
 fn main() -> ExitCode {
     let line = Line::parse();
     let scenes = hallrelay_checker::scenes::ALL;
-    let known = |name: &str| scenes.iter().any(|scene| scene.name == name);
+    let known = |name: &str| name == RELEASES || scenes.iter().any(|scene| scene.name == name);
     if let Some(odd) = line.scene.iter().find(|name| !known(name)) {
         let names: Vec<&str> = scenes.iter().map(|scene| scene.name).collect();
         eprintln!("hallrelay-checker: no scene {odd}, wanted one of {}", names.join(", "));
@@ -45,10 +50,21 @@
         let found = timed(scene.name, "nothing planted", &scene.with(Planted::Nothing), &bounds);
         right &= found.broken.is_none();
     }
+    if chosen(RELEASES) {
+        let planted = match line.planted {
+            true => releases::Planted::ALL.to_vec(),
+            false => vec![releases::Planted::Nothing],
+        };
+        for planted in planted {
+            let model = Releases { planted, failures: 2, words: 4 };
+            let found = timed(RELEASES, &format!("{planted:?}").to_lowercase(), &model, &bounds);
+            right &= found.broken.is_some() == line.planted;
+        }
+    }
     ExitCode::from(u8::from(!right))
 }
 
-fn timed(scene: &str, planted: &str, model: &Voters, bounds: &Bounds) -> Found {
+fn timed(scene: &str, planted: &str, model: &impl Model, bounds: &Bounds) -> Found {
     let begun = Instant::now();
     let found = search(model, bounds);
     let whole = if found.whole { "all" } else { "the first" };
--- a/checker/src/voters.rs
+++ b/checker/src/voters.rs
@@ -671,7 +671,8 @@
     /// A leader is there then, what is out comes back, and who asks is granted.
     fn goes_on(&self, w: &World) -> bool {
         let mut w = w.clone();
-        (w.net.clear(), w.old.clear());
+        w.net.clear();
+        w.old.clear();
         w.healed = true;
         for round in 0..24 {
             if let Some(seat) = w.seats.iter().position(|s| s.node.as_ref().is_some_and(Voters::leads)) {
--- a/checker/tests/scenes.rs
+++ b/checker/tests/scenes.rs
@@ -1,4 +1,5 @@
 //! Scenes that are small enough are searched whole, with the same counts every time; planted faults are found.
+use hallrelay_checker::releases::{self, Releases};
 use hallrelay_checker::scenes::ALL;
 use hallrelay_checker::search::{search, Bounds, Found};
 use hallrelay_checker::voters::Planted;
@@ -48,3 +49,17 @@
     }
     assert!(Planted::ALL.iter().all(|planted| all.contains(planted)), "each has a scene: {all:?}");
 }
+
+/// A release, by every order of what deployers, leaders and people say; each state can be brought back.
+#[test]
+fn a_release_can_always_be_halted_and_brought_back() {
+    let model = |planted| Releases { planted, failures: 1, words: 2 };
+    let bounds = Bounds { states: 2_000_000, depth: usize::MAX, way_on: 1 };
+    let found = search(&model(releases::Planted::Nothing), &bounds);
+    assert_eq!(found.broken, None);
+    assert!(found.whole && found.looked == found.states);
+    assert_eq!((found.states, found.steps), (8_140, 17_732));
+    let broken = |planted| search(&model(planted), &bounds).broken.map(|broken| broken.0);
+    assert_eq!(broken(releases::Planted::HaltForgotten), Some("no step begins after a halt"));
+    assert_eq!(broken(releases::Planted::WayBackResumes), Some("a way on once links heal"));
+}
--- a/config/src/lib.rs
+++ b/config/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod limits;
 pub mod list;
 pub mod node;
+pub mod plan;
 pub mod scenario;
 
 use serde_json::Value;
--- a/config/src/node.rs
+++ b/config/src/node.rs
@@ -137,6 +137,12 @@
         path => Ok(PathBuf::from(path)),
     });
     let state = state.transpose()?;
+    let votes = fleet.as_ref().and_then(|fleet| fleet.voters.as_ref());
+    if votes.is_some_and(|voters| voters.names.contains(&name)) && state.is_none() {
+        return Err(
+            "state is left out, and fleet.voters names this relay: a voter must not forget".to_string()
+        );
+    }
     let uses = Uses { operator: operator.is_some(), fleet: fleet.is_some(), state: state.is_some() };
     let (site, limits) = fitting(site, sockets, uses)?;
     Ok(Node {
--- a/fleet/src/membership/hear.rs
+++ b/fleet/src/membership/hear.rs
@@ -37,6 +37,7 @@
             Body::Nack { seq } => self.nacked(seq),
             // Tables come by streams.
             Body::Gossip | Body::Exchange | Body::Exchanged | Body::Recall | Body::Recalled { .. } => {}
+            Body::Word { bytes } => out.push(Effect::Said { name, bytes }),
         }
     }
 
@@ -52,7 +53,7 @@
     /// A relay that asks for the table: a new one becomes known by it, as what it says of its address is what
     /// its connection shows.
     pub(super) fn visited(&mut self, stream: u64, from: SocketAddr, packet: Packet, out: &mut Vec<Effect>) {
-        let asks = matches!(packet.body, Body::Exchange | Body::Recall);
+        let asks = matches!(packet.body, Body::Exchange | Body::Recall | Body::Word { .. });
         if !asks || packet.own.addr.ip() != from.ip() {
             *self.counts.dropped.entry(Fault::Stranger).or_default() += 1;
             return out.push(Effect::Answer { stream, bytes: None });
@@ -66,6 +67,13 @@
                 false => Effect::Answer { stream, bytes: None },
             });
         }
+        if let Body::Word { bytes } = &packet.body {
+            let (name, bytes) = (packet.own.name.clone(), bytes.clone());
+            let known = name != self.own.name && self.members.contains_key(&name);
+            self.take_table(packet, out);
+            out.extend(known.then_some(Effect::Said { name, bytes }));
+            return out.push(Effect::Answer { stream, bytes: None });
+        }
         self.take_table(packet, out);
         let bytes = self.table(Body::Exchanged);
         self.counts.sent_bytes += bytes.len() as u64;
--- a/fleet/src/membership/mod.rs
+++ b/fleet/src/membership/mod.rs
@@ -118,6 +118,11 @@
         stream: u64,
         bytes: Option<Vec<u8>>,
     },
+    /// The users' own bytes for a member, or for all that are there.
+    Say {
+        name: Option<Rc<str>>,
+        bytes: Vec<u8>,
+    },
     /// What was dropped before it came here, since it was told last.
     Dropped {
         what: Fault,
@@ -175,6 +180,11 @@
         name: Rc<str>,
         told: Vec<u8>,
     },
+    /// A member's word for this relay's users.
+    Said {
+        name: Rc<str>,
+        bytes: Vec<u8>,
+    },
     /// Something for the log, out of the ordinary.
     Note {
         what: String,
@@ -389,6 +399,7 @@
             Event::Returned { packet } => self.returned(*packet, out),
             Event::Recall => self.ask_one(out),
             Event::Told { stream, bytes } => self.tell_one(stream, bytes, out),
+            Event::Say { name, bytes } => self.say_word(name, &bytes, out),
             Event::Leave => self.leave(out),
             Event::Alarm => {}
         }
--- a/fleet/src/membership/spread.rs
+++ b/fleet/src/membership/spread.rs
@@ -117,6 +117,23 @@
         out.push(Effect::Answer { stream, bytes });
     }
 
+    /// A word for a member, or for all that are there: a datagram, or a stream where it is longer. Lost where
+    /// the member is not known, or the word is longer than a frame.
+    pub(super) fn say_word(&mut self, name: Option<Rc<str>>, bytes: &[u8], out: &mut Vec<Effect>) {
+        let names = name.map_or_else(|| self.there.clone(), |name| vec![name]);
+        for name in names {
+            let Some(to) = self.members.get(&name).map(|m| m.claim.addr) else { continue };
+            let body = Body::Word { bytes: bytes.to_vec() };
+            let bytes = encode(&self.own.fleet, &self.own_claim(), body, std::iter::empty(), FRAME).0;
+            self.counts.sent_bytes += bytes.len() as u64;
+            match bytes.len() {
+                0..=DATAGRAM => out.push(Effect::Send { to, bytes }),
+                _ if bytes.len() <= FRAME => out.push(Effect::Visit { to, bytes }),
+                _ => {}
+            }
+        }
+    }
+
     /// Configured addresses at which nobody is known to be there.
     fn unmet(&self) -> Vec<SocketAddr> {
         let met = |addr: &SocketAddr| {
--- a/fleet/src/message.rs
+++ b/fleet/src/message.rs
@@ -50,6 +50,10 @@
     Recalled {
         told: Vec<u8>,
     },
+    /// The users' own bytes for this member alone; nothing comes back.
+    Word {
+        bytes: Vec<u8>,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/grants/src/command.rs
+++ b/grants/src/command.rs
@@ -1,6 +1,6 @@
 //! What is agreed on, as bytes, and what comes of it.
 use crate::state::{Condition, Place};
-use crate::{Budget, Thing, BUDGETS, NAME, WHY};
+use crate::{Budget, Plan, Thing, BUDGETS, NAME, WHY};
 use serde::{Deserialize, Serialize};
 
 /// Counted up with each change that an older voter would apply otherwise. A voter that meets a later one
@@ -12,19 +12,71 @@
     /// The budgets from here on.
     Budgets(Vec<Budget>),
     /// What a leader sees of one: where it is and how it does. `Condition::Gone` forgets it.
-    Seen { thing: Thing, place: Place, condition: Condition },
+    Seen {
+        thing: Thing,
+        place: Place,
+        condition: Condition,
+    },
     /// Wants to be out; the same `call` again is the same wish.
-    Ask { thing: Thing, call: u64, by: String, why: String, force: bool },
+    Ask {
+        thing: Thing,
+        call: u64,
+        by: String,
+        why: String,
+        force: bool,
+    },
     /// Who asked waits no more.
-    Drop { thing: Thing, call: u64 },
+    Drop {
+        thing: Thing,
+        call: u64,
+    },
     /// The holder begins, once this is agreed and no sooner.
-    Begin { thing: Thing, grant: u64 },
+    Begin {
+        thing: Thing,
+        grant: u64,
+    },
     /// A grant that nobody began.
-    Lapse { thing: Thing, grant: u64 },
+    Lapse {
+        thing: Thing,
+        grant: u64,
+    },
     /// It is to serve again, or serves.
-    Back { thing: Thing },
+    Back {
+        thing: Thing,
+    },
     /// A person, by name, vouches that it is not out any more.
-    Free { thing: Thing, by: String },
+    Free {
+        thing: Thing,
+        by: String,
+    },
+    /// A release begins, where none is under way.
+    Start {
+        plan: Plan,
+    },
+    /// What was out for a release was changed, or could not be.
+    Did {
+        thing: Thing,
+        grant: u64,
+        good: bool,
+        why: String,
+    },
+    /// What the leader makes of a wave.
+    Judged {
+        wave: u64,
+        good: bool,
+        why: String,
+    },
+    Halt {
+        by: String,
+        why: String,
+    },
+    Resume {
+        by: String,
+    },
+    /// All that was changed goes back, the latest first.
+    WayBack {
+        by: String,
+    },
 }
 
 /// Why a command was not followed. It changes nothing then.
@@ -93,6 +145,11 @@
             | Command::Begin { thing, .. }
             | Command::Lapse { thing, .. }
             | Command::Back { thing } => named(thing),
+            Command::Start { plan } => plan.sound(),
+            Command::Did { thing, why, .. } => named(thing) && fits(why, WHY),
+            Command::Judged { why, .. } => fits(why, WHY),
+            Command::Halt { by, why } => fits(by, NAME) && fits(why, WHY),
+            Command::Resume { by } | Command::WayBack { by } => fits(by, NAME),
         }
     }
 }
--- a/grants/src/lib.rs
+++ b/grants/src/lib.rs
@@ -4,10 +4,13 @@
 //! `docs/release.md`.
 pub mod budget;
 pub mod command;
+pub mod judge;
+pub mod release;
 pub mod state;
 
 pub use budget::{Budget, Scope};
 pub use command::{Command, Fault, Outcome};
+pub use release::{Judge, Phase, Plan, Release, Step, Wave};
 pub use state::{Condition, Place, Record, Stage, State};
 
 use serde::{Deserialize, Serialize};
--- a/grants/src/state.rs
+++ b/grants/src/state.rs
@@ -1,5 +1,6 @@
 //! The state that commands are applied to, the same at each voter.
 use crate::command::VERSION;
+use crate::release::{Item, Phase, Plan, Release, Sign as Over, Step};
 use crate::{Budget, Command, Fault, Outcome, Thing, QUEUE, THINGS};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -114,6 +115,7 @@
     /// The last grant's number: they only rise.
     last: u64,
     turns: u64,
+    release: Option<Release>,
 }
 
 /// The answer to a wish that waits: which budget holds it, and who is out of it.
@@ -132,6 +134,11 @@
         &self.budgets
     }
 
+    /// The one that is under way, or was last.
+    pub fn release(&self) -> Option<&Release> {
+        self.release.as_ref()
+    }
+
     /// The whole of it, for a snapshot.
     pub fn encode(&self) -> Vec<u8> {
         postcard::to_extend(self, vec![VERSION]).unwrap_or_default()
@@ -148,7 +155,8 @@
     /// Applies one command, and grants what there is room for after it.
     pub fn apply(&mut self, command: &Command) -> Outcome {
         let outcome = self.follow(command);
-        self.grant_all();
+        // What is granted may begin, what is in may end a wave, and the next wave asks.
+        while self.grant_all() | self.advance() {}
         match (command, outcome) {
             (Command::Ask { thing, call, .. }, Outcome::Done) => self.asked(thing, *call),
             (_, outcome) => outcome,
@@ -175,7 +183,173 @@
                 outcome
             }
             Command::Free { thing, .. } => self.play(thing, Freed),
+            Command::Start { plan } => self.begin_release(plan),
+            Command::Did { thing, grant, good, why } => self.did(thing, *grant, *good, why),
+            Command::Judged { wave, good, why } => self.judged(*wave, *good, why),
+            Command::Halt { by, why } => self.sign(Over::Halt, &format!("by {by}: {why}")),
+            Command::Resume { .. } => self.sign(Over::Resume, ""),
+            Command::WayBack { by } => self.sign(Over::WayBack, &format!("by {by}: all goes back")),
+        }
+    }
+
+    fn begin_release(&mut self, plan: &Plan) -> Outcome {
+        if self.release.as_ref().is_some_and(|release| !release.phase.is_over()) {
+            return Outcome::Not(Fault::Stale);
+        }
+        let known: Vec<Thing> = self.things.keys().filter(|thing| thing.kind() == plan.of).cloned().collect();
+        let release = Release::new(plan.clone(), &known);
+        if release.items.is_empty() || !release.missing().is_empty() {
+            return Outcome::Not(Fault::Unknown);
+        }
+        self.release = Some(release);
+        Outcome::Done
+    }
+
+    /// A person's word, or what follows from it: nothing that has not begun begins after a halt.
+    fn sign(&mut self, sign: Over, why: &str) -> Outcome {
+        let Some(release) = &mut self.release else { return Outcome::Not(Fault::Unknown) };
+        if !release.play(sign) {
+            return Outcome::Not(Fault::Stale);
+        }
+        if sign != Over::Resume {
+            release.why = why.to_string();
+        }
+        let stops = matches!(sign, Over::Halt | Over::Bad | Over::WayBack);
+        let unbegun = |r: Option<&Record>| r.is_none_or(|r| matches!(r.stage, In | Waiting | Granted));
+        let mut dropped = Vec::new();
+        for item in release.items.iter_mut().filter(|_| stops) {
+            if unbegun(self.things.get(&item.thing)) {
+                match item.step {
+                    Step::Going => item.step = Step::Todo,
+                    Step::Undoing => item.step = Step::Done,
+                    _ => continue,
+                }
+                dropped.push(item.thing.clone());
+            }
+        }
+        if sign == Over::WayBack {
+            // Out for the new build, it may have it already: whoever deploys sees to it that it has the old.
+            let begun = release.items.iter_mut().filter(|item| item.step == Step::Going);
+            begun.for_each(|item| item.step = Step::Undoing);
+        }
+        dropped.iter().for_each(|thing| _ = self.play(thing, Dropped));
+        Outcome::Done
+    }
+
+    fn did(&mut self, thing: &Thing, grant: u64, good: bool, why: &str) -> Outcome {
+        let out = self.things.get(thing).is_some_and(|r| r.stage == Out && r.grant == grant);
+        let Some(item) = self.release.as_mut().and_then(|release| release.item(thing)) else {
+            return Outcome::Not(Fault::Unknown);
+        };
+        let next = match item.step {
+            Step::Going => Step::Changed,
+            Step::Undoing => Step::Unchanged,
+            _ => return Outcome::Not(Fault::Stale),
+        };
+        if !out {
+            return Outcome::Not(Fault::Stale);
+        }
+        if !good {
+            return self.sign(Over::Bad, &format!("{thing} could not be changed: {why}"));
+        }
+        item.step = next;
+        self.play(thing, Served);
+        self.warm(thing);
+        Outcome::Done
+    }
+
+    fn judged(&mut self, wave: u64, good: bool, why: &str) -> Outcome {
+        let Some(release) = &mut self.release else { return Outcome::Not(Fault::Unknown) };
+        if release.wave as u64 != wave {
+            return Outcome::Not(Fault::Stale);
+        }
+        let last = release.wave + 1 >= release.plan.waves.len();
+        let sign = match (good, last) {
+            (true, true) => Over::AllGood,
+            (true, false) => Over::Good,
+            (false, _) => return self.sign(Over::Bad, why),
+        };
+        if !release.play(sign) {
+            return Outcome::Not(Fault::Stale);
+        }
+        release.wave += usize::from(!last);
+        Outcome::Done
+    }
+
+    /// What a release does by itself after a command; whether anything came of it.
+    fn advance(&mut self) -> bool {
+        let Some(mut release) = self.release.take() else { return false };
+        let moves = match release.phase {
+            Phase::Running | Phase::Halted | Phase::Judging => self.forward(&mut release),
+            Phase::Returning | Phase::ReturnHalted => self.backward(&mut release),
+            Phase::Finished | Phase::Back => false,
+        };
+        self.release = Some(release);
+        moves
+    }
+
+    fn stage(&self, thing: &Thing) -> Stage {
+        self.things.get(thing).map_or(Out, |r| r.stage)
+    }
+
+    /// It asks for one, in its own name.
+    fn ask_for(&mut self, thing: &Thing, why: &str, by: &str) -> bool {
+        const RELEASE: u64 = u64::MAX; // no call of a relay's is as late
+        self.ask(thing, RELEASE, by, why, false) == Outcome::Done && self.stage(thing) != In
+    }
+
+    /// What is granted begins, what is in is done; while it runs the wave's others ask.
+    fn forward(&mut self, release: &mut Release) -> bool {
+        let (runs, mut moves) = (release.phase == Phase::Running, false);
+        let (by, why) = (release.plan.by.clone(), format!("release of {}", release.plan.build));
+        for item in release.of_wave() {
+            let next = match (item.step, self.stage(&item.thing)) {
+                (Step::Todo, In) if runs && self.ask_for(&item.thing, &why, &by) => Step::Going,
+                (Step::Going, Granted) if runs => {
+                    self.play(&item.thing, Begun);
+                    moves = true;
+                    continue;
+                }
+                // Freed by a person, or lapsed: it asks once more.
+                (Step::Going, In) => Step::Todo,
+                (Step::Changed, In) => Step::Done,
+                _ => continue,
+            };
+            (item.step, moves) = (next, true);
+        }
+        if runs && release.of_wave().all(|item| item.step == Step::Done) {
+            moves |= release.play(Over::WaveIn);
+        }
+        moves
+    }
+
+    /// The same on the way back: the latest wave that has any left, its last first.
+    fn backward(&mut self, release: &mut Release) -> bool {
+        let (runs, mut moves) = (release.phase == Phase::Returning, false);
+        let (by, why) = (release.plan.by.clone(), format!("way back from {}", release.plan.build));
+        let left = |item: &Item| !matches!(item.step, Step::Todo | Step::Undone);
+        if let Some(last) = release.items.iter().filter(|item| left(item)).map(|item| item.wave).max() {
+            release.wave = last;
+        }
+        let wave = release.wave;
+        for item in release.items.iter_mut().rev().filter(|item| item.wave == wave) {
+            let next = match (item.step, self.stage(&item.thing)) {
+                (Step::Done, In) if runs && self.ask_for(&item.thing, &why, &by) => Step::Undoing,
+                (Step::Undoing, Granted) if runs => {
+                    self.play(&item.thing, Begun);
+                    moves = true;
+                    continue;
+                }
+                (Step::Undoing, In) | (Step::Changed, In) => Step::Done,
+                (Step::Unchanged, In) => Step::Undone,
+                _ => continue,
+            };
+            (item.step, moves) = (next, true);
+        }
+        if runs && !release.items.iter().any(left) {
+            moves |= release.play(Over::AllBack);
         }
+        moves
     }
 
     /// One row of the table.
@@ -303,14 +477,17 @@
     }
 
     /// The oldest wishes first; one that has no room does not hold up those that have.
-    fn grant_all(&mut self) {
+    fn grant_all(&mut self) -> bool {
+        let mut granted = false;
         let waiting = self.things.iter().filter(|(_, r)| r.stage == Waiting);
         let mut turns: Vec<(u64, Thing)> = waiting.map(|(thing, r)| (r.turn, thing.clone())).collect();
         turns.sort();
         for (_, thing) in turns {
             if self.things.get(&thing).is_some_and(|r| self.held(&thing, r).is_none()) {
                 self.grant(&thing);
+                granted = true;
             }
         }
+        granted
     }
 }
--- a/handover/src/message.rs
+++ b/handover/src/message.rs
@@ -47,6 +47,9 @@
     /// What it knows of the other relays, in the words of their own messages; none where it knows of none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub fleet: Option<Vec<u8>>,
+    /// Servers that were agreed to be out, and by which entry; none where nothing is agreed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub shut: Option<(u64, Vec<String>)>,
 }
 
 /// An open session: what the new process needs to go on between two bytes.
--- a/lab/src/members.rs
+++ b/lab/src/members.rs
@@ -462,7 +462,7 @@
                 }
                 Effect::Answer { bytes: None, .. } | Effect::Open { .. } | Effect::Note { .. } => {}
                 // Nobody recalls here: there is no list.
-                Effect::Asked { .. } | Effect::Recalled { .. } => {}
+                Effect::Asked { .. } | Effect::Recalled { .. } | Effect::Said { .. } => {}
             }
         }
     }
--- a/lab/src/virt/fleet.rs
+++ b/lab/src/virt/fleet.rs
@@ -64,7 +64,7 @@
             Fleet::Answer { bytes: None, .. } | Fleet::Open { .. } => {}
             // The reducer's own.
             Fleet::Alarm { .. } | Fleet::Note { .. } | Fleet::Found { .. } => {}
-            Fleet::Asked { .. } | Fleet::Recalled { .. } => {}
+            Fleet::Asked { .. } | Fleet::Recalled { .. } | Fleet::Said { .. } => {}
         }
     }
 
--- a/lab/src/virt/mod.rs
+++ b/lab/src/virt/mod.rs
@@ -19,7 +19,7 @@
 use hallrelay_emulator::service::{Outcome, RelayFigures};
 use hallrelay_emulator::tools::Queue;
 use hallrelay_recovery::fact::VERSION;
-use hallrelay_recovery::Stored;
+use hallrelay_recovery::{Kept, Stored};
 use hallrelay_relay::lines::Open;
 use hallrelay_relay::reducer::{Alarm, Effect, Event, Reducer};
 use std::collections::{BTreeMap, HashMap};
@@ -573,12 +573,12 @@
                 Effect::Exit => self.exits(relay),
                 Effect::Pong { .. } | Effect::Deny { .. } | Effect::Reply { .. } => {}
                 Effect::Fleet(effect) => self.fleet(relay, effect),
-                Effect::Keep { kept, .. } => {
-                    let (key, all) = ((kept.fact as u8, kept.name), &mut self.relays[relay].kept);
-                    match kept.bytes {
-                        Some(bytes) => _ = all.insert(key, bytes),
-                        None => _ = all.remove(&key),
-                    }
+                Effect::Keep { kept, .. } => self.keep(relay, kept),
+                Effect::Vow { life, number, kept } => {
+                    kept.into_iter().for_each(|one| self.keep(relay, one));
+                    // A sync of a disk takes some milliseconds.
+                    const SYNC: Micros = 2_000;
+                    self.tell(relay, SYNC, Event::Vowed { life, number });
                 }
                 // A virtual relay is one process all its life, and its store is its own.
                 Effect::Keeping { .. } => {}
@@ -591,6 +591,14 @@
         }
     }
 
+    fn keep(&mut self, relay: usize, kept: Kept) {
+        let (key, all) = ((kept.fact as u8, kept.name), &mut self.relays[relay].kept);
+        match kept.bytes {
+            Some(bytes) => _ = all.insert(key, bytes),
+            None => _ = all.remove(&key),
+        }
+    }
+
     fn probe(&mut self, relay: usize, server: ServerId, at: usize, sent: Micros, todo: &mut Todo) {
         let (way, limit) = (self.way(), self.relays[relay].limits.probe);
         let (after, end, report) = match self.day.servers.reach(at, relay) {
--- a/recovery/src/fact.rs
+++ b/recovery/src/fact.rs
@@ -1,9 +1,10 @@
 //! The facts that are kept, and how they stand in the store.
 use hallrelay::types::Micros;
+use hallrelay_agreement::{Entry, Snapshot, Voter};
 use hallrelay_config::list::{self, Instance, List};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Kinds of facts; the number is the kind of their keys in the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -16,17 +17,34 @@
     Server = 3,
     /// This relay's last turn at a cold server.
     Turn = 4,
+    /// A voter's disk: when it was born, and the last term with its vote.
+    Vote = 5,
+    /// An entry of the agreed log.
+    Entry = 6,
+    /// What came of the entries before those.
+    Snapshot = 7,
+    /// Servers that were agreed to be out.
+    Shut = 8,
 }
 
 impl Fact {
-    pub const ALL: [Fact; 4] = [Fact::Own, Fact::List, Fact::Server, Fact::Turn];
+    pub const ALL: [Fact; 8] = [
+        Fact::Own,
+        Fact::List,
+        Fact::Server,
+        Fact::Turn,
+        Fact::Vote,
+        Fact::Entry,
+        Fact::Snapshot,
+        Fact::Shut,
+    ];
 
     pub fn of(kind: u8) -> Option<Fact> {
         Fact::ALL.into_iter().find(|fact| *fact as u8 == kind)
     }
 
     pub fn word(self) -> &'static str {
-        ["own", "list", "server", "turn"][self as usize - 1]
+        ["own", "list", "server", "turn", "vote", "entry", "snapshot", "shut"][self as usize - 1]
     }
 }
 
@@ -93,6 +111,30 @@
         Kept::new(Fact::Turn, server, &Spent { wall })
     }
 
+    /// Of a disk that was born then.
+    pub fn vote(birth: u64, term: u64, vote: Option<Voter>) -> Kept {
+        Kept { fact: Fact::Vote, name: String::new(), bytes: postcard::to_stdvec(&(birth, term, vote)).ok() }
+    }
+
+    pub fn entry(entry: &Entry) -> Kept {
+        // Of one length, so that they stand in their order.
+        let name = format!("{:020}", entry.index);
+        Kept { fact: Fact::Entry, name, bytes: postcard::to_stdvec(entry).ok() }
+    }
+
+    pub fn no_entry(index: u64) -> Kept {
+        Kept::forgotten(Fact::Entry, &format!("{index:020}"))
+    }
+
+    pub fn snapshot(snapshot: &Snapshot) -> Kept {
+        Kept { fact: Fact::Snapshot, name: String::new(), bytes: postcard::to_stdvec(snapshot).ok() }
+    }
+
+    /// Servers that were out by the agreed log up to an entry.
+    pub fn shut(index: u64, servers: &BTreeSet<String>) -> Kept {
+        Kept::new(Fact::Shut, "", &(index, servers))
+    }
+
     pub fn forgotten(fact: Fact, name: &str) -> Kept {
         Kept { fact, name: name.to_string(), bytes: None }
     }
@@ -117,6 +159,10 @@
     pub servers: BTreeMap<String, ServerTold>,
     /// When turns were spent, by the system's clock.
     pub turns: BTreeMap<String, Micros>,
+    /// What a voter must not forget, and when its disk was born; none where it was none.
+    pub birth: Option<u64>,
+    pub agreed: hallrelay_agreement::Stored,
+    pub shut: (u64, BTreeSet<String>),
     /// The latest time of that clock that anything was written at.
     pub wall: Micros,
     /// Facts of another version or kind, or that are not of their form.
@@ -159,6 +205,25 @@
                 self.turns.insert(name, spent.wall);
                 spent.wall
             }
+            Fact::Vote => {
+                let (birth, term, vote) = postcard::from_bytes(bytes).ok()?;
+                (self.birth, self.agreed.term, self.agreed.vote) = (Some(birth), term, vote);
+                0
+            }
+            Fact::Entry => {
+                let entry: Entry = postcard::from_bytes(bytes).ok()?;
+                let at = self.agreed.entries.partition_point(|one| one.index < entry.index);
+                self.agreed.entries.insert(at, entry);
+                0
+            }
+            Fact::Snapshot => {
+                self.agreed.snapshot = postcard::from_bytes(bytes).ok()?;
+                0
+            }
+            Fact::Shut => {
+                self.shut = serde_json::from_slice(bytes).ok()?;
+                0
+            }
         };
         self.wall = self.wall.max(wall);
         Some(())
--- a/recovery/src/trust.rs
+++ b/recovery/src/trust.rs
@@ -24,12 +24,17 @@
 
 /// The fact, how old it may be, what holds where its age is unknown. What outranks each, and what holds where
 /// two disagree, stands at `recover`'s steps; the same rows, with their sources, are in `docs/recovery.md`.
-const TABLE: [(Fact, Age, Unknown); 4] = [
+const TABLE: [(Fact, Age, Unknown); 8] = [
     (Fact::Own, Age::Any, Unknown::Holds),
     (Fact::List, Age::Any, Unknown::Holds),
     // An end that was told a week ago is in every list by now, or in none.
     (Fact::Server, Age::Most(7 * DAY), Unknown::Holds),
     (Fact::Turn, Age::WarmUp, Unknown::JustNow),
+    // What was promised holds for ever; no clock has a part in it.
+    (Fact::Vote, Age::Any, Unknown::Holds),
+    (Fact::Entry, Age::Any, Unknown::Holds),
+    (Fact::Snapshot, Age::Any, Unknown::Holds),
+    (Fact::Shut, Age::Any, Unknown::Holds),
 ];
 
 /// A turn at a cold server that is taken already, and how long ago.
@@ -100,7 +105,10 @@
         // From now on it is this relay's: nothing that it held may be taken for its own at the next start.
         let servers = stored.servers.keys().map(|id| (Fact::Server, id.clone()));
         r.forgotten.extend(servers.chain(stored.turns.keys().map(|id| (Fact::Turn, id.clone()))));
-        r.forgotten.push((Fact::List, String::new()));
+        let alone = [Fact::List, Fact::Vote, Fact::Snapshot, Fact::Shut];
+        r.forgotten.extend(alone.map(|fact| (fact, String::new())));
+        let entries = stored.agreed.entries.iter().map(|one| (Fact::Entry, format!("{:020}", one.index)));
+        r.forgotten.extend(entries);
         r.missing.clone_from(&r.list.instances);
         return r;
     }
--- a/recovery/tests/trust.rs
+++ b/recovery/tests/trust.rs
@@ -102,7 +102,8 @@
     assert_eq!((phase(&r), r.start, r.turns.len()), (Some(Phase::Ready), 0, 0));
     assert!(r.words[0].contains("relay other's"), "{:?}", r.words);
     // Nothing that it held is there at the next start; what the configuration tells is.
-    assert_eq!((r.forgotten.len(), &r.missing), (2, &known.instances));
+    // The server, and what stands alone: list, vote, snapshot, what is shut.
+    assert_eq!((r.forgotten.len(), &r.missing), (5, &known.instances));
     let empty = with(&known, &[]);
     assert_eq!((&empty.list, &empty.missing), (&known, &known.instances));
     let r = with(
--- a/relay/src/cli.rs
+++ b/relay/src/cli.rs
@@ -1,5 +1,7 @@
 //! The command line, for `hallrelay` itself and for programs that start a relay of their own.
+use crate::drain;
 use crate::net::serve;
+use crate::release;
 use crate::shelf::{self, Shelf};
 use crate::status;
 use clap::{Parser, Subcommand};
@@ -37,6 +39,16 @@
         #[command(subcommand)]
         what: FleetWhat,
     },
+    /// What may be out, as it is agreed across the fleet: let out, bring back, see.
+    Drain {
+        #[command(subcommand)]
+        what: drain::Drain,
+    },
+    /// A release in waves over what is agreed: begin, halt, go on, go back.
+    Release {
+        #[command(subcommand)]
+        what: release::Release,
+    },
     /// Look at the store that a relay keeps in its state folder.
     Store {
         #[command(subcommand)]
@@ -115,6 +127,8 @@
             }
             return Ok(u8::from(!status.is_whole()));
         }
+        What::Drain { what } => return drain::run(what),
+        What::Release { what } => return release::run(what),
         What::Store { what } => return Ok(shelf::run(&what)),
         What::Version => println!("hallrelay {}", env!("CARGO_PKG_VERSION")),
         What::Check { given } => {
@@ -126,11 +140,15 @@
                 None => println!("operators have nowhere to call: operator is not given"),
             }
             if let Some(fleet) = &node.fleet {
-                let Fleet { name, listen, advertise, peers } = fleet;
+                let Fleet { name, listen, advertise, peers, voters } = fleet;
                 println!(
                     "fleet {name} on {listen}, reached at {advertise}, {} addresses of others",
                     peers.len()
                 );
+                if let Some(voters) = voters {
+                    let (names, budgets) = (&voters.names, voters.budgets.len());
+                    println!("what may be out is agreed by {}, {budgets} budgets", names.join(", "));
+                }
             }
             if let Some(state) = &node.state {
                 println!("what it keeps is in {}", state.display());
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -2,9 +2,12 @@
 pub mod buffer;
 pub mod cli;
 pub mod clock;
+pub mod drain;
 pub mod figures;
 pub mod lines;
 pub mod net;
 pub mod reducer;
+pub mod release;
 pub mod shelf;
 pub mod status;
+pub mod talk;
--- a/relay/src/net/operator.rs
+++ b/relay/src/net/operator.rs
@@ -4,7 +4,8 @@
 use super::{accept, Hub};
 use crate::clock::span;
 use crate::figures;
-use crate::reducer::{Call, Reply};
+use crate::reducer::{Call, Reply, Want};
+use hallrelay_grants::{Command, Plan, Thing};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{HeaderValue, ALLOW, CONTENT_TYPE, RETRY_AFTER};
@@ -12,6 +13,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::Deserialize;
 use std::collections::VecDeque;
 use std::convert::Infallible;
 use tokio::net::{TcpListener, TcpStream};
@@ -21,15 +23,87 @@
 
 pub(super) type Calls = mpsc::Sender<(Call, oneshot::Sender<Reply>)>;
 
+type Meant = fn(Said) -> Result<Call, &'static str>;
+
 /// Path, method, and what it asks for.
-const CALLS: [(&str, &str, Call); 5] = [
-    ("/v1/readyz", "GET", Call::Ready),
-    ("/v1/metrics", "GET", Call::Figures),
-    ("/v1/fleet", "GET", Call::Fleet),
-    ("/v1/relay/drain", "POST", Call::Drain),
-    ("/v1/relay/activate", "POST", Call::Activate),
+const CALLS: [(&str, &str, Meant); 15] = [
+    ("/v1/readyz", "GET", |_| Ok(Call::Ready)),
+    ("/v1/metrics", "GET", |_| Ok(Call::Figures)),
+    ("/v1/fleet", "GET", |_| Ok(Call::Fleet)),
+    ("/v1/grants", "GET", |_| Ok(Call::Grants)),
+    ("/v1/relay/drain", "POST", |said| Ok(Call::Drain(Box::new(said.want(None))))),
+    ("/v1/relay/activate", "POST", |_| Ok(Call::Activate)),
+    ("/v1/backend/drain", "POST", |said| {
+        let backend = said.backend.clone().ok_or("backend is left out")?;
+        Ok(Call::Drain(Box::new(said.want(Some(backend)))))
+    }),
+    ("/v1/backend/back", "POST", |said| {
+        let thing = Thing::Server(said.backend.ok_or("backend is left out")?);
+        agree(format!("{thing} serves again"), Command::Back { thing })
+    }),
+    ("/v1/free", "POST", |said| {
+        let thing = said.thing()?;
+        let by = said.by.filter(|by| !by.is_empty()).ok_or("by is left out: who vouches for it?")?;
+        agree(format!("{thing} is freed"), Command::Free { thing, by })
+    }),
+    ("/v1/release", "GET", |_| Ok(Call::Release)),
+    ("/v1/release/start", "POST", |said| {
+        let plan = said.plan.filter(Plan::sound).ok_or("no sound plan")?;
+        agree(format!("release of {} begins", plan.build), Command::Start { plan })
+    }),
+    ("/v1/release/did", "POST", |said| {
+        let thing = said.thing()?;
+        let grant = said.grant.ok_or("grant is left out")?;
+        let (good, why) = (said.failed.is_none(), said.failed.unwrap_or_default());
+        agree(format!("{thing} is changed"), Command::Did { thing, grant, good, why })
+    }),
+    ("/v1/release/halt", "POST", |said| {
+        let (by, why) = (said.who(), said.why.unwrap_or_default());
+        agree("halted".to_string(), Command::Halt { by, why })
+    }),
+    ("/v1/release/resume", "POST", |said| agree("goes on".to_string(), Command::Resume { by: said.who() })),
+    ("/v1/release/back", "POST", |said| agree("goes back".to_string(), Command::WayBack { by: said.who() })),
 ];
 
+/// A call's body, JSON; most calls have none.
+#[derive(Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct Said {
+    relay: Option<String>,
+    backend: Option<String>,
+    by: Option<String>,
+    why: Option<String>,
+    force: bool,
+    grant: Option<u64>,
+    failed: Option<String>,
+    /// The whole body of a plan.
+    #[serde(skip)]
+    plan: Option<Plan>,
+}
+
+fn agree(words: String, command: Command) -> Result<Call, &'static str> {
+    Ok(Call::Agree { command: Box::new(command), words })
+}
+
+impl Said {
+    fn who(&self) -> String {
+        self.by.clone().unwrap_or_else(|| "an operator".to_string())
+    }
+
+    fn thing(&self) -> Result<Thing, &'static str> {
+        match (&self.relay, &self.backend) {
+            (Some(relay), None) => Ok(Thing::Relay(relay.clone())),
+            (None, Some(backend)) => Ok(Thing::Server(backend.clone())),
+            _ => Err("wanted a relay or a backend"),
+        }
+    }
+
+    fn want(self, server: Option<String>) -> Want {
+        let by = self.who();
+        Want { server, by, why: self.why.unwrap_or_default(), force: self.force }
+    }
+}
+
 pub(super) async fn run(listener: TcpListener, calls: Calls, hub: Hub) {
     let mut open: VecDeque<JoinHandle<()>> = VecDeque::new();
     loop {
@@ -64,7 +138,8 @@
 }
 
 async fn answer(asked: Request<Incoming>, calls: &Calls, most: usize) -> Response<Full<Bytes>> {
-    let path = asked.uri().path();
+    let path = asked.uri().path().to_string();
+    let strict = ["/v1/backend/", "/v1/free", "/v1/release/"].iter().any(|start| path.starts_with(start));
     let Some(&(_, method, what)) = CALLS.iter().find(|call| call.0 == path) else {
         return say(StatusCode::NOT_FOUND, "no such call");
     };
@@ -73,14 +148,30 @@
         no.headers_mut().insert(ALLOW, HeaderValue::from_static(method));
         return no;
     }
-    // Nothing in a body has a meaning here, but it belongs to the call.
-    match Limited::new(asked.into_body(), most).collect().await {
+    let said = match Limited::new(asked.into_body(), most).collect().await {
         Err(e) if e.is::<LengthLimitError>() => {
             return say(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large")
         }
         Err(_) => return say(StatusCode::BAD_REQUEST, "the body is not whole"),
-        Ok(_) => {}
-    }
+        Ok(body) => body.to_bytes(),
+    };
+    // What a call of old is sent beside it never had a meaning.
+    let said = match path.as_str() {
+        _ if said.is_empty() => Ok(Said::default()),
+        "/v1/release/start" => {
+            serde_json::from_slice(&said).map(|plan| Said { plan: Some(plan), ..Said::default() })
+        }
+        _ => serde_json::from_slice(&said),
+    };
+    let said = match said {
+        Ok(said) => said,
+        Err(_) if !strict => Said::default(),
+        Err(e) => return say(StatusCode::BAD_REQUEST, format!("the body: {e}")),
+    };
+    let what = match what(said) {
+        Ok(what) => what,
+        Err(why) => return say(StatusCode::BAD_REQUEST, why),
+    };
     let (to, reply) = oneshot::channel();
     if calls.send((what, to)).await.is_err() {
         return say(StatusCode::SERVICE_UNAVAILABLE, "stopping");
@@ -93,6 +184,14 @@
             no
         }
         Ok(Reply::Conflict(word)) => say(StatusCode::CONFLICT, word),
+        Ok(Reply::Held(why)) => say(StatusCode::CONFLICT, why),
+        Ok(Reply::Said(what)) => say(StatusCode::OK, what),
+        Ok(Reply::Grants(None)) => say(StatusCode::NOT_FOUND, "nothing of it is agreed here"),
+        Ok(Reply::Grants(Some(text))) => {
+            let mut answer = say(StatusCode::OK, text);
+            answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+            answer
+        }
         Ok(Reply::Fleet(None)) => say(StatusCode::NOT_FOUND, "fleet is not configured here"),
         Ok(Reply::Fleet(Some(status))) => match serde_json::to_string(&status) {
             Ok(text) => {
--- a/relay/src/net/serve.rs
+++ b/relay/src/net/serve.rs
@@ -35,6 +35,8 @@
     /// Dials that wait for a fact to be written: by session its number; till when, and what then goes out.
     tickets: BTreeMap<SessId, u64>,
     waiting: VecDeque<(u64, Micros, SessId, Command)>,
+    /// What a voter promises and is not written yet: the store's number, its life and its own.
+    vows: VecDeque<(u64, u32, u64)>,
     exit: Option<std::io::Result<()>>,
 }
 
@@ -118,6 +120,7 @@
         keeper,
         tickets: BTreeMap::new(),
         waiting: VecDeque::new(),
+        vows: VecDeque::new(),
         exit: None,
     };
     tokio::task::spawn_local(accept::run(listener, taken, hub.clone()));
@@ -145,6 +148,10 @@
             reducer.step(now, event, &mut effects);
             hands.carry_out(&mut effects);
         }
+        while let Some((life, number)) = hands.vowed() {
+            reducer.step(now, Event::Vowed { life, number }, &mut effects);
+            hands.carry_out(&mut effects);
+        }
         while let Some(alarm) = hands.due(now) {
             reducer.step(now, Event::Alarm(alarm), &mut effects);
             hands.carry_out(&mut effects);
@@ -197,6 +204,13 @@
         Event::Store(Box::new(now))
     }
 
+    /// A voter's promise that is on the disk.
+    fn vowed(&mut self) -> Option<(u32, u64)> {
+        let durable = self.keeper.as_ref()?.durable();
+        let (_, life, number) = self.vows.pop_front_if(|vow| vow.0 <= durable)?;
+        Some((life, number))
+    }
+
     /// Lets dials go whose fact is written, or has taken too long: service does not wait for a disk.
     fn dial_on(&mut self, now: Micros) {
         let Some(keeper) = &self.keeper else { return };
@@ -246,11 +260,26 @@
                         self.tickets.insert(sess, ticket);
                     }
                 }
+                Effect::Vow { life, number, kept } => {
+                    let Some(keeper) = &self.keeper else { continue };
+                    let tickets: Vec<_> = kept.into_iter().map(|one| keeper.put(one)).collect();
+                    // What can't be put is never told to be written: the voter waits, and votes no more.
+                    if let Some(all) = tickets.into_iter().collect::<Option<Vec<_>>>() {
+                        self.vows.push_back((all.into_iter().max().unwrap_or(0), life, number));
+                    }
+                }
                 Effect::Keeping { on } => {
                     if let Some(keeper) = &mut self.keeper {
                         match on {
-                            // What it held this process knows by now.
-                            true => drop(keeper.open()),
+                            // Most of what it held this process knows by now.
+                            true => {
+                                let (held, hub) = (keeper.open(), self.hub.clone());
+                                tokio::task::spawn_local(async move {
+                                    if let Ok(held) = held.await {
+                                        hub.tell(Event::Reopened(Box::new(held))).await;
+                                    }
+                                });
+                            }
                             false => keeper.close(),
                         }
                     }
@@ -319,6 +348,7 @@
                         | Told::Note { .. }
                         | Told::Found { .. }
                         | Told::Asked { .. }
+                        | Told::Said { .. }
                         | Told::Recalled { .. } => {}
                     }
                 }
--- a/relay/src/net/store.rs
+++ b/relay/src/net/store.rs
@@ -150,6 +150,11 @@
         }
     }
 
+    /// All that was put up to this number is written.
+    pub fn durable(&self) -> u64 {
+        self.health.borrow().durable
+    }
+
     /// Whether what has a number is written, or can't be: a disk that fails is not waited for.
     pub fn settled(&self, ticket: u64) -> bool {
         let health = self.health.borrow();
--- a/relay/src/reducer/duty.rs
+++ b/relay/src/reducer/duty.rs
@@ -6,6 +6,9 @@
 use Act::{Begin, BeginEmpty, Empty, Nothing, Refuse, Resume, Yield};
 use Duty::{Away, Draining, Leaving, Relieved, Serving, Stopping, Waiting};
 
+/// Where nothing is agreed.
+const NONE: &str = "fleet.voters is not configured here: backends drain by their list";
+
 /// How things stand, in a word for operators.
 pub type Word = &'static str;
 
@@ -146,13 +149,37 @@
         matches!(self.duty, Draining | Away).then_some(self.since)
     }
 
-    pub(super) fn called(&mut self, what: Call, out: &mut Vec<Effect>) -> Reply {
+    /// An operator's call, answered at once; where that takes an agreement, as it comes.
+    pub(super) fn called(&mut self, call: u32, what: Call, out: &mut Vec<Effect>) {
+        let reply = match what {
+            // A relay that does not serve needs nobody's leave.
+            Call::Drain(want) if self.agrees() && (want.server.is_some() || self.duty == Serving) => {
+                return self.want(call, *want, out);
+            }
+            Call::Agree { command, words } if self.agrees() => {
+                return self.say_agreed(call, *command, words, out);
+            }
+            Call::Drain(want) if want.server.is_some() => Reply::Held(NONE.to_string()),
+            Call::Agree { .. } => Reply::Held(NONE.to_string()),
+            Call::Grants => Reply::Grants(self.grants_status()),
+            Call::Release => Reply::Grants(self.release_status()),
+            what => self.call(&what, out),
+        };
+        out.push(Effect::Reply { call, reply });
+    }
+
+    /// Whether clients are served here, and are to be.
+    pub(super) fn serves(&self) -> bool {
+        matches!(self.duty, Serving) && self.can_place()
+    }
+
+    fn call(&mut self, what: &Call, out: &mut Vec<Effect>) -> Reply {
         let act = match what {
             Call::Fleet => return Reply::Fleet(self.fleet_status()),
             Call::Figures => return Reply::Figures(Box::new(self.figures())),
-            Call::Ready => Nothing,
-            Call::Drain => self.turn(Sign::Drain, out),
+            Call::Drain(_) => self.turn(Sign::Drain, out),
             Call::Activate => self.turn(Sign::Activate, out),
+            Call::Ready | Call::Grants | Call::Release | Call::Agree { .. } => Nothing,
         };
         let word = if self.duty == Serving && !self.can_place() { "starting" } else { self.duty.word() };
         match (act, what) {
--- a/relay/src/reducer/mod.rs
+++ b/relay/src/reducer/mod.rs
@@ -1,20 +1,26 @@
 //! The one place where the relay's state changes: `step` takes an event and appends effects. It hands the
 //! decision module its inputs and turns its effects into reading, writing, dialling and timers, which tasks
 //! carry out. It reads no clock and no socket, and decides nothing that the module decides.
+mod agreed;
 mod duty;
 mod evidence;
 mod figures;
 mod fleet;
 mod hearsay;
 mod keep;
+mod look;
 mod place;
+mod release;
 mod servers;
 mod sessions;
+mod shut;
 mod watch;
+mod wish;
 
 pub use duty::Word;
 pub use figures::{Figures, Outcomes};
 pub use fleet::FleetFigures;
+pub use wish::Want;
 
 use crate::lines::Open;
 use duty::{Duty, Sign};
@@ -26,6 +32,8 @@
 use hallrelay_config::node::Node;
 use hallrelay_fleet::status::Status;
 use hallrelay_fleet::Membership;
+use hallrelay_grants::judge::Tally;
+use hallrelay_grants::Command;
 use hallrelay_handover::place::{self as handover, Peer, Place};
 use hallrelay_handover::{Message, Session};
 use hallrelay_recovery::{Kept, Stored};
@@ -35,13 +43,23 @@
 use std::rc::Rc;
 
 /// What an operator may ask for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Call {
     Ready,
     Figures,
     Fleet,
-    Drain,
+    /// What is agreed across the fleet.
+    Grants,
+    /// This relay, or a server for the whole fleet.
+    Drain(Box<Want>),
     Activate,
+    /// A command that is to be agreed as it stands: back, freed, of a release; and in words.
+    Agree {
+        command: Box<Command>,
+        words: String,
+    },
+    /// How the release stands.
+    Release,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -51,6 +69,12 @@
     No(Word),
     /// What was asked for can't be, as things stand.
     Conflict(Word),
+    /// Not by what is agreed across the fleet; why.
+    Held(String),
+    /// Agreed; what.
+    Said(String),
+    /// What is agreed, as JSON; none where nothing is.
+    Grants(Option<String>),
     Figures(Box<Figures>),
     /// What this relay believes of its fleet; none where it is told of none.
     Fleet(Option<Box<Status>>),
@@ -148,6 +172,13 @@
     Place(handover::Event),
     /// Something came from another relay.
     Fleet(hallrelay_fleet::Event),
+    /// What was to be written for a life of the voter is on the disk, up to a number.
+    Vowed {
+        life: u32,
+        number: u64,
+    },
+    /// The store is this process's by now: what it held.
+    Reopened(Box<Stored>),
     /// How the store does, as it changes.
     Store(Box<Health>),
     Alarm(Alarm),
@@ -169,6 +200,12 @@
     Holding,
     /// Something of membership is due.
     Fleet,
+    /// Of the voter, and of which round.
+    Agreed(hallrelay_agreement::Alarm, u32),
+    /// What is seen of the fleet goes to the leader, or into the log.
+    Look,
+    /// A wish of an operator's call.
+    Wish(u32),
     /// Others are asked for the list, if discovery has not spoken by now.
     Recall,
 }
@@ -267,6 +304,12 @@
         kept: Kept,
         before: Option<SessId>,
     },
+    /// What a voter promises: it is told as all of it is on the disk.
+    Vow {
+        life: u32,
+        number: u64,
+        kept: Vec<Kept>,
+    },
     /// The store is this process's, or another's.
     Keeping {
         on: bool,
@@ -343,6 +386,8 @@
     /// Connections in a row that were not made.
     refused: u32,
     delay: Delay,
+    /// Sessions that came to an answer there since that was told.
+    tally: Tally,
 }
 
 /// What the module was told of a server's message delays.
@@ -391,6 +436,10 @@
     /// What the store held, till the start has gone by it; how the store does.
     stored: Option<Box<Stored>>,
     store: Option<Box<Health>>,
+    /// What is agreed across the fleet; none where nothing is.
+    agreed: Option<Box<agreed::Agreed>>,
+    /// What was told of this relay's own sessions.
+    tallied: Tally,
     /// When discovery spoke last in this life, and how often others told of the list before it did.
     spoken: Option<Micros>,
     hearsay: u32,
@@ -421,6 +470,8 @@
             fleet: None,
             stored: None,
             store: None,
+            agreed: None,
+            tallied: Tally::default(),
             spoken: None,
             hearsay: 0,
             informed: false,
@@ -447,6 +498,12 @@
     /// Begins with the list as this relay last had it.
     pub fn start(&mut self, now: Micros, out: &mut Vec<Effect>) {
         self.now = now;
+        let voters = self.node.fleet.as_ref().and_then(|fleet| fleet.voters.as_ref());
+        let agreed = voters.map(|told| agreed::Agreed::new(&self.node.name, told, self.node.seed, now));
+        self.agreed = agreed.map(Box::new);
+        let stored = self.stored.clone();
+        self.begin_to_agree(stored.as_deref(), out);
+        self.begin_to_look(out);
         let recovered = self.recovered(now, out).unwrap_or_default();
         let stored = (!recovered.list.instances.is_empty()).then(|| recovered.list.clone());
         let known = stored.unwrap_or(List { whole: true, ..self.node.known.clone() });
@@ -490,6 +547,9 @@
             Event::Ended { sess, end, report } => {
                 let Some(s) = self.over(sess) else { return };
                 let dial = s.dials.saturating_sub(1);
+                if end == DialEnd::Reset {
+                    self.counts(s.server, end);
+                }
                 self.tell(Input::DialEnded { sess, dial, end, settled: true, report }, out);
             }
             Event::Load { sess, load } if self.passing(sess) => self.load(sess, load, out),
@@ -505,10 +565,9 @@
                 self.reload(*node, out);
             }
             Event::Unfit => self.figures.load_errors += 1,
-            Event::Called { call, what } => {
-                let reply = self.called(what, out);
-                out.push(Effect::Reply { call, reply });
-            }
+            Event::Called { call, what } => self.called(call, what, out),
+            Event::Vowed { life, number } => self.vowed(life, number, out),
+            Event::Reopened(stored) => self.begin_to_agree(Some(&stored), out),
             Event::Passed { sess } => self.left(sess, out),
             Event::Stays { sess } => self.stays(sess),
             Event::Inherited { sess, session } => self.inherited(sess, *session, out),
@@ -576,6 +635,9 @@
             Alarm::Holding => self.holding(out),
             Alarm::Fleet => self.fleet_alarm(out),
             Alarm::Recall => self.recall(out),
+            Alarm::Agreed(alarm, round) => self.agreed_alarm(alarm, round, out),
+            Alarm::Look => self.look(out),
+            Alarm::Wish(ops) => self.wish_again(ops, out),
         }
     }
 }
--- a/relay/src/reducer/place.rs
+++ b/relay/src/reducer/place.rs
@@ -64,6 +64,7 @@
         self.turn(Sign::Yield, out);
         // One process speaks for the relay: this one is still before the other can begin.
         self.fleet(Fleet::Yield, out);
+        self.cease_to_agree();
         out.push(Effect::Keeping { on: false });
         out.push(Effect::Tell { peer, message: Message::Yours(state) });
         let open: Vec<SessId> = self.sessions.keys().copied().collect();
@@ -146,6 +147,7 @@
             open: self.sessions.values().map(|s| s.id).collect(),
             connections: (self.sessions.len() + self.aside.len()) as u32,
             fleet: self.fleet.as_ref().map(Membership::estate),
+            shut: self.agreed.as_ref().map(|a| (a.shut.0, a.shut.1.iter().cloned().collect())),
         }
     }
 
@@ -176,6 +178,9 @@
         if let (Some(fleet), Some(known)) = (&mut self.fleet, &state.fleet) {
             fleet.inherit(self.now, known);
         }
+        if let Some((index, shut)) = state.shut {
+            self.shut(index, shut.into_iter().collect(), out);
+        }
         self.their_marks = state.open.into_iter().collect();
         match state.draining {
             None => _ = self.turn(Sign::Take, out),
--- a/relay/src/reducer/servers.rs
+++ b/relay/src/reducer/servers.rs
@@ -2,6 +2,7 @@
 use super::{Delay, Effect, Reducer, Server, Stage};
 use hallrelay::types::{DialEnd, Entry, Input, ListKind, Phase, ServerId};
 use hallrelay_config::list::{Instance, List};
+use hallrelay_grants::judge::Tally;
 
 impl Reducer {
     /// Guards sessions on a machine that vanished unsaid: each would find out by a message of its own.
@@ -45,13 +46,20 @@
                 server
             }
         };
-        let fresh =
-            || Server { told: one.clone(), probing: false, misses: 0, refused: 0, delay: Delay::default() };
+        let fresh = || Server {
+            told: one.clone(),
+            probing: false,
+            misses: 0,
+            refused: 0,
+            delay: Delay::default(),
+            tally: Tally::default(),
+        };
         let v = self.servers.entry(server).or_insert_with(fresh);
         v.told = one.clone();
         let zone = self.node.site.zones.iter().position(|name| *name == one.zone);
         let zone = zone.and_then(|at| u8::try_from(at).ok()).unwrap_or(u8::MAX);
-        Entry { server, phase: one.phase, came_up: one.came_up, zone, cell: one.cell }
+        let phase = self.phase(&one);
+        Entry { server, phase, came_up: one.came_up, zone, cell: one.cell }
     }
 
     /// What is gone is forgotten once nothing names it, or a long life would gather all there ever were.
@@ -74,7 +82,7 @@
     }
 }
 
-/// The same at every relay, since relays rank servers by it alike without a word (FNV-1a).
-fn server_id(name: &str) -> ServerId {
+/// A name in a number, the same at every relay, since relays rank servers by it alike without a word (FNV-1a).
+pub(super) fn server_id(name: &str) -> ServerId {
     name.bytes().fold(0x811c_9dc5, |hash, b| (hash ^ u32::from(b)).wrapping_mul(0x0100_0193))
 }
--- a/relay/src/status.rs
+++ b/relay/src/status.rs
@@ -1,9 +1,9 @@
 //! `hallrelay fleet status`: asks a relay what it believes of its fleet, and says it.
 use hallrelay_fleet::status::{MemberStatus, Status};
-use http_body_util::{BodyExt, Empty, Limited};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Bytes;
 use hyper::client::conn::http1;
-use hyper::{Request, StatusCode};
+use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::fmt::Write;
 use std::net::SocketAddr;
@@ -14,13 +14,19 @@
 const PATIENCE: Duration = Duration::from_secs(3);
 const MOST: usize = 4 << 20;
 
-/// A call of the second address; its status and body.
-async fn call(at: SocketAddr, path: &'static str) -> Result<(StatusCode, Bytes), String> {
+/// A call of the second address; its status and body. One with a body is a `POST`.
+async fn call(
+    at: SocketAddr,
+    path: &'static str,
+    body: Option<String>,
+) -> Result<(StatusCode, Bytes), String> {
     let asked = async {
         let stream = TcpStream::connect(at).await.map_err(|e| e.to_string())?;
         let (mut sender, connection) =
             http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
-        let ask = Request::get(path).header("host", at.to_string()).body(Empty::<Bytes>::new());
+        let method = if body.is_some() { Method::POST } else { Method::GET };
+        let ask = Request::builder().method(method).uri(path).header("host", at.to_string());
+        let ask = ask.body(Full::new(Bytes::from(body.unwrap_or_default())));
         let ask = ask.map_err(|e| e.to_string())?;
         let answered = async {
             let answer = sender.send_request(ask).await.map_err(|e| e.to_string())?;
@@ -41,7 +47,7 @@
 
 /// What a relay answers, or why there is no status.
 pub async fn ask(at: SocketAddr) -> Result<Status, String> {
-    let (status, body) = call(at, "/v1/fleet").await?;
+    let (status, body) = call(at, "/v1/fleet", None).await?;
     if status != StatusCode::OK {
         return Err(format!("{at}: {}", String::from_utf8_lossy(&body).trim_end()));
     }
@@ -50,7 +56,19 @@
 
 /// Whether a relay says that it takes sessions.
 pub async fn ready(at: SocketAddr) -> bool {
-    matches!(call(at, "/v1/readyz").await, Ok((StatusCode::OK, _)))
+    matches!(call(at, "/v1/readyz", None).await, Ok((StatusCode::OK, _)))
+}
+
+/// What a relay says at a path, as text.
+pub async fn get(at: SocketAddr, path: &'static str) -> Result<(u16, String), String> {
+    let (status, body) = call(at, path, None).await?;
+    Ok((status.as_u16(), String::from_utf8_lossy(&body).into_owned()))
+}
+
+/// The same, where something is said to it.
+pub async fn post(at: SocketAddr, path: &'static str, body: String) -> Result<(u16, String), String> {
+    let (status, body) = call(at, path, Some(body)).await?;
+    Ok((status.as_u16(), String::from_utf8_lossy(&body).into_owned()))
 }
 
 /// As a table, this relay first.
--- a/relay/tests/common/mod.rs
+++ b/relay/tests/common/mod.rs
@@ -1,12 +1,14 @@
 #![allow(dead_code)] // each test takes of it what it uses
 //! A relay's process on free ports of 127.0.0.1, with backends that take every session and echo its lines.
 //! Nothing outlives the test: processes are killed as they are dropped, and every wait is bounded.
+pub mod agreed;
+
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -174,6 +176,8 @@
 pub struct Counted {
     pub place: SocketAddr,
     opened: Arc<AtomicU64>,
+    /// Ends each session that comes, without a word.
+    pub bad: Arc<AtomicBool>,
 }
 
 impl Counted {
@@ -181,14 +185,15 @@
         let listener = bound();
         let place = listener.local_addr().expect("its address");
         let opened = Arc::new(AtomicU64::new(0));
-        let count = opened.clone();
+        let bad = Arc::new(AtomicBool::new(false));
+        let (count, drops) = (opened.clone(), bad.clone());
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let count = count.clone();
-                std::thread::spawn(move || serve_counted(stream, &count));
+                let (count, drops) = (count.clone(), drops.clone());
+                std::thread::spawn(move || serve_counted(stream, &count, &drops));
             }
         });
-        Counted { place, opened }
+        Counted { place, opened, bad }
     }
 
     pub fn opened(&self) -> u64 {
@@ -197,16 +202,19 @@
 }
 
 fn serve(stream: TcpStream) {
-    serve_counted(stream, &AtomicU64::new(0));
+    serve_counted(stream, &AtomicU64::new(0), &AtomicBool::new(false));
 }
 
-fn serve_counted(mut stream: TcpStream, opened: &AtomicU64) {
+fn serve_counted(mut stream: TcpStream, opened: &AtomicU64, bad: &AtomicBool) {
     let mut lines = BufReader::new(stream.try_clone().expect("a handle"));
     let mut line = String::new();
     while matches!(lines.read_line(&mut line), Ok(1..)) {
         let answer = match line.split(' ').next() {
             Some("OPEN") => {
                 opened.fetch_add(1, Ordering::SeqCst);
+                if bad.load(Ordering::SeqCst) {
+                    return;
+                }
                 "UP r1\r\n".to_string()
             }
             _ => line.clone(),
@@ -246,6 +254,12 @@
         _ = self.0.get_mut().write_all(format!("{line}\r\n").as_bytes());
     }
 
+    /// What is there already, or comes at once.
+    pub fn hears_now(&mut self) -> Option<String> {
+        self.0.get_ref().set_read_timeout(Some(Duration::from_millis(20))).expect("a timeout");
+        self.hear().ok()
+    }
+
     pub fn hear(&mut self) -> Result<String, Miss> {
         let mut line = String::new();
         match self.0.read_line(&mut line) {
--- a/tests/helpers/fleet.rs
+++ b/tests/helpers/fleet.rs
@@ -106,6 +106,7 @@
                 Effect::Open { on } => self.told.push(if on { "open" } else { "shut" }.to_string()),
                 Effect::Asked { .. } => self.told.push("asked".to_string()),
                 Effect::Recalled { name, .. } => self.told.push(format!("recalled by {name}")),
+                Effect::Said { name, .. } => self.told.push(format!("said by {name}")),
                 Effect::Found { .. } | Effect::Note { .. } => {}
             }
         }
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -266,10 +266,10 @@
     let calls = [
         ("ready", Call::Ready),
         ("figures", Call::Figures),
-        ("drain", Call::Drain),
+        ("drain", Call::Drain(Box::default())),
         ("activate", Call::Activate),
     ];
-    calls.iter().find(|c| c.0 == word).map(|c| c.1).ok_or(format!("unknown call '{word}'"))
+    calls.into_iter().find(|c| c.0 == word).map(|c| c.1).ok_or(format!("unknown call '{word}'"))
 }
 
 /// Figures are shown as their lines on one, those of 0 left out.
@@ -278,6 +278,9 @@
         Reply::Yes(word) => format!("yes {word}"),
         Reply::No(word) => format!("no {word}"),
         Reply::Conflict(word) => format!("conflict {word}"),
+        Reply::Held(why) => format!("held {why}"),
+        Reply::Said(what) => format!("said {what}"),
+        Reply::Grants(told) => format!("grants {}", told.as_deref().unwrap_or("none")),
         Reply::Fleet(told) => format!("fleet {}", told.as_ref().map_or("none", |s| s.believes.as_str())),
         Reply::Figures(figures) => {
             let text = hallrelay_relay::figures::text(figures);
@@ -392,6 +395,7 @@
             Effect::PassOn { sess, peer, .. } => format!("pass {sess} on to {peer}"),
             Effect::Part { peer } => format!("part from {peer}"),
             Effect::Keep { kept, .. } => format!("keep {} {}", kept.fact.word(), kept.name),
+            Effect::Vow { number, .. } => format!("vow {number}"),
             Effect::Keeping { .. } => "alarm".to_string(),
             Effect::Fleet(effect) => format!("to the fleet {effect:?}"),
             Effect::Note { .. } => "alarm".to_string(),
