--- a/config/src/scenario/check.rs
+++ b/config/src/scenario/check.rs
@@ -9,6 +9,13 @@
     let fails = |bad: bool, key: &str, what: &str| if bad { wrong(key, what) } else { Ok(()) };
     fails(s.length_s.us() < 1_000_000, "length_s", "wanted a second at least")?;
     fails(s.relays.count == 0 || s.relays.count > 300, "relays.count", "wanted 1 to 300 relays")?;
+    let votes = s.relays.voters;
+    fails(
+        votes > 0 && !(s.relays.fleet && s.relays.state),
+        "relays.voters",
+        "wants relays.fleet and relays.state",
+    )?;
+    fails(votes > s.relays.count || votes > 7, "relays.voters", "wanted 7 at most, and no more than relays")?;
     fails(s.relays.fleet && s.relays.seeds == 0, "relays.seeds", "wanted 1 at least")?;
     fails(s.relays.sockets < 64, "relays.sockets", "wanted 64 at least")?;
     fails(s.relays.most_dials == 0, "relays.most_dials", "wanted 1 at least")?;
@@ -88,7 +95,7 @@
 fn links(s: &Scenario, t: &Trouble, key: &dyn Fn(&str) -> String) -> Result<(), Wrong> {
     use TroubleKind::{
         LinkCut, LinkDamage, LinkDelay, LinkDouble, LinkLoss, LinkReorder, LinkSplit, ListCut, RelayLooping,
-        RelayStalled, ServersCut,
+        RelayStalled, RelaysOut, ServersCut,
     };
     let fails =
         |bad: bool, name: &str, what: &str| if bad { Err((key(name), what.to_string())) } else { Ok(()) };
@@ -98,6 +105,12 @@
         "kind",
         "is about relays that know each other, and relays.fleet is not true",
     )?;
+    let votes = s.relays.voters;
+    fails(
+        t.kind == RelaysOut && votes == 0,
+        "kind",
+        "is about drains that are agreed, and relays.voters is 0",
+    )?;
     let lasting = link || matches!(t.kind, RelayStalled | RelayLooping | ListCut | ServersCut);
     fails(lasting && t.length_s.us() == 0, "length_s", "wanted more than 0")?;
     let unknown = |some: &[usize]| some.iter().any(|relay| *relay >= s.relays.count);
--- a/config/src/scenario/mod.rs
+++ b/config/src/scenario/mod.rs
@@ -122,6 +122,10 @@
     pub retry_after_ms: Millis,
     /// Whether they keep what they must know across restarts.
     pub state: bool,
+    /// How many of them agree on who may be out, the first ones; 0 is none. They keep what they must know.
+    pub voters: usize,
+    /// How many may be out at a time, by what is agreed.
+    pub out: u32,
     /// Which list stands in the configuration of one that starts: the newest, or that of the day's beginning.
     pub known: KnownList,
 }
@@ -147,6 +151,8 @@
             seeds: 3,
             retry_after_ms: Span(0),
             state: false,
+            voters: 0,
+            out: 1,
             known: KnownList::Newest,
         }
     }
--- a/config/src/scenario/trouble.rs
+++ b/config/src/scenario/trouble.rs
@@ -74,6 +74,8 @@
     RelayLooping,
     /// A new process takes the place of the running one.
     RelayReplaced,
+    /// An operator wants each of them out, asks till it is let out, and brings it back after `strength` seconds.
+    RelaysOut,
     /// Ways between relays, and those between some relays and the list service or some servers.
     LinkCut,
     LinkLoss,
@@ -118,9 +120,9 @@
     pub fn is_of_relays(self) -> bool {
         use TroubleKind::{
             ListCut, RelayKilled, RelayLooping, RelayReloaded, RelayReplaced, RelayStalled, RelayStopped,
-            ServersCut,
+            RelaysOut, ServersCut,
         };
         let processes = matches!(self, RelayKilled | RelayStopped | RelayReloaded | RelayStalled);
-        processes || matches!(self, RelayLooping | RelayReplaced | ListCut | ServersCut)
+        processes || matches!(self, RelayLooping | RelayReplaced | RelaysOut | ListCut | ServersCut)
     }
 }
--- a/emulator/src/node.rs
+++ b/emulator/src/node.rs
@@ -79,6 +79,10 @@
         let peers: Vec<String> = reached.iter().take(s.relays.seeds).map(ToString::to_string).collect();
         text["fleet"] = json!({"name": s.name, "listen": listen.to_string(),
             "advertise": reached[place.relay].to_string(), "peers": peers});
+        if s.relays.voters > 0 {
+            text["fleet"]["voters"] = json!((0..s.relays.voters).map(name).collect::<Vec<_>>());
+            text["fleet"]["budgets"] = json!([{"of": "relay", "scope": "fleet", "count": s.relays.out}]);
+        }
     }
     text
 }
--- a/emulator/src/script.rs
+++ b/emulator/src/script.rs
@@ -110,6 +110,8 @@
     Wake,
     /// Another process takes the place of the running one.
     Replace,
+    /// An operator wants it out for so long, and asks till it is let out.
+    WantOut(Micros),
 }
 
 /// A trouble as a page shows it, in microseconds from the day's beginning.
@@ -271,6 +273,10 @@
             TroubleKind::RelayStalled => self.relays(from, Deed::Stall, Some((to, Deed::Wake))),
             TroubleKind::RelayReloaded => self.relays(from, Deed::Reload, None),
             TroubleKind::RelayReplaced => self.relays(from, Deed::Replace, None),
+            TroubleKind::RelaysOut => {
+                let stay = if strength > 0.0 { seconds } else { 3_000_000 };
+                self.relays(from, Deed::WantOut(stay), None);
+            }
             TroubleKind::RelayLooping => {
                 let every = self.t.every_s.us();
                 for relay in self.met_relays() {
--- a/emulator/src/service.rs
+++ b/emulator/src/service.rs
@@ -102,6 +102,25 @@
     /// What the relays believed of each other, where they know each other.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub fleet: Option<FleetOutcome>,
+    /// Relays that were let out, where that is agreed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub outs: Option<Outs>,
+}
+
+/// What an operator saw who wanted relays out, and what was counted from outside.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Outs {
+    pub wanted: usize,
+    pub let_out: usize,
+    /// Answers that it is not let out yet.
+    pub held: u64,
+    /// Draining ones at a time, and those with the dead and the stalled.
+    pub most_draining: usize,
+    pub most_away: usize,
+    /// Moments at which more drained than may, and at which one began while as many were away already.
+    pub over: u64,
+    /// Seconds from the first wish till the last was back; 0 where not all were.
+    pub took_s: f64,
 }
 
 fn is_none(count: &u64) -> bool {
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -40,6 +40,13 @@
         "{} moves, {} breaks, {} dials, {} probes, {} cold servers fell over",
         o.moves, o.breaks, o.dials, o.probes, o.cold_falls
     );
+    if let Some(outs) = &o.outs {
+        _ = writeln!(
+            t,
+            "relays let out {} of {} wanted (told to wait {} times), {} at a time at most, {} with the dead; over what may: {}; {:.0} s in all",
+            outs.let_out, outs.wanted, outs.held, outs.most_draining, outs.most_away, outs.over, outs.took_s
+        );
+    }
     if o.stale_dials > 0 {
         _ = writeln!(
             t,
--- a/lab/src/sockets.rs
+++ b/lab/src/sockets.rs
@@ -34,6 +34,9 @@
 /// Takes as many descriptors as the system gives without privileges; says which limit binds where they do not
 /// do.
 pub fn enough_descriptors(s: &Scenario, wanted: u64) -> Result<(), String> {
+    if s.troubles.iter().any(|t| t.kind == TroubleKind::RelaysOut) {
+        return Err("trouble of kind \"relays-out\" is played with --virtual only".to_string());
+    }
     let mut limit = libc::rlimit { rlim_cur: 0, rlim_max: 0 };
     // SAFETY: both calls get a plain struct that outlives them.
     unsafe {
@@ -345,6 +348,8 @@
                     _ = host.relay_started(relay, Duration::from_secs(10)).await;
                 });
             }
+            // Refused at the start: operators' calls are not played here.
+            Deed::WantOut(_) => {}
             Deed::Stall => {
                 let r = &mut self.relays[relay];
                 if let Some(process) = r.process.as_ref().filter(|_| !r.stalled) {
--- a/lab/src/virt/mod.rs
+++ b/lab/src/virt/mod.rs
@@ -2,6 +2,7 @@
 //! socket. One queue of events, one seed; the same seed gives the same day to the byte.
 mod fleet;
 mod list;
+mod outs;
 mod sessions;
 
 use hallrelay::types::{DialEnd, Micros, Phase, ServerId, SessId};
@@ -113,6 +114,14 @@
     },
     /// All relays are asked what they believe of each other.
     Ask,
+    /// An operator asks for a relay to be let out once more, or brings it back.
+    WantsOut {
+        relay: usize,
+        stay: Micros,
+    },
+    BringsBack {
+        relay: usize,
+    },
     /// A message that nobody answered.
     Silent {
         relay: usize,
@@ -134,6 +143,8 @@
             Ev::Line(ask) => Some(ask.relay),
             Ev::Between { to, .. } => Some(*to),
             Ev::Client { .. } | Ev::Dialled { .. } | Ev::Closed { .. } | Ev::Ask => None,
+            // An operator's matter, who waits as long.
+            Ev::WantsOut { .. } | Ev::BringsBack { .. } => None,
             // The server and the list service do their part; what they say waits.
             Ev::Probe { .. } | Ev::Tells { .. } => None,
         }
@@ -204,6 +215,7 @@
     list_down: bool,
     maker: Maker<'a>,
     events: u64,
+    outs: outs::Seen,
 }
 
 fn addr(server: usize) -> SocketAddr {
@@ -236,6 +248,7 @@
         list_down: false,
         maker,
         events: 0,
+        outs: outs::Seen::default(),
     };
     for relay in 0..s.relays.count {
         let node = v.node(relay, 0)?;
@@ -314,6 +327,7 @@
         self.now = self.now.max(self.day.end.min(self.now + 1));
         let relays = self.relays.iter().map(|r| RelayFigures { starts: r.starts, ..RelayFigures::default() });
         let mut outcome = self.day.outcome();
+        outcome.outs = self.outs.outcome();
         (outcome.relays, outcome.partial, outcome.way) = (relays.collect(), partial, "virtual".to_string());
         Ok(outcome)
     }
@@ -457,6 +471,8 @@
             }
             Ev::Between { from, to, way } => self.between(from, to, way),
             Ev::Ask => self.ask_all(),
+            Ev::WantsOut { relay, stay } => self.wants_out(relay, stay),
+            Ev::BringsBack { relay } => self.brings_back(relay),
             // Of a relay that has ended meanwhile.
             _ => {}
         }
@@ -495,6 +511,7 @@
                         self.ends(relay);
                         self.starts(relay)?;
                     }
+                    Deed::WantOut(stay) => self.wants_out(relay, stay),
                     Deed::Stall => self.stalls(relay),
                     Deed::Wake => self.wakes(relay),
                     // A virtual relay is one process all its life: sessions and member go on as they are.
@@ -571,7 +588,8 @@
                 }
                 Effect::Unwatch { watch } => self.relays[relay].watches.retain(|w| w.id != watch),
                 Effect::Exit => self.exits(relay),
-                Effect::Pong { .. } | Effect::Deny { .. } | Effect::Reply { .. } => {}
+                Effect::Reply { call, reply } => self.replied(relay, call, &reply),
+                Effect::Pong { .. } | Effect::Deny { .. } => {}
                 Effect::Fleet(effect) => self.fleet(relay, effect),
                 Effect::Keep { kept, .. } => self.keep(relay, kept),
                 Effect::Vow { life, number, kept } => {
--- /dev/null
+++ b/lab/src/virt/outs.rs
@@ -0,0 +1,80 @@
+//! An operator who wants relays out and asks till each is let out, and the count of who is away, from outside.
+use super::*;
+use hallrelay_emulator::service::Outs;
+use hallrelay_relay::reducer::{Call, Reply, Want};
+use std::collections::BTreeSet;
+
+/// How long an operator waits before asking again.
+const AGAIN: Micros = 1_000_000;
+/// Calls of this kind; others ask for other things.
+const DRAIN: u32 = 1;
+
+#[derive(Default)]
+pub(super) struct Seen {
+    wanted: BTreeSet<usize>,
+    stays: BTreeMap<usize, Micros>,
+    draining: BTreeSet<usize>,
+    back: BTreeSet<usize>,
+    first: Option<Micros>,
+    last: Micros,
+    told: Outs,
+}
+
+impl Seen {
+    pub(super) fn outcome(&self) -> Option<Outs> {
+        let first = self.first?;
+        let all = self.back.len() == self.wanted.len();
+        let took_s = if all { (self.last - first) as f64 / 1e6 } else { 0.0 };
+        Some(Outs { wanted: self.wanted.len(), took_s, ..self.told.clone() })
+    }
+}
+
+impl Virtual<'_> {
+    pub(super) fn wants_out(&mut self, relay: usize, stay: Micros) {
+        self.outs.first.get_or_insert(self.now);
+        self.outs.wanted.insert(relay);
+        self.outs.stays.insert(relay, stay);
+        let want = Want { by: "ann".to_string(), why: "a day out".to_string(), ..Want::default() };
+        let stands = self.relays[relay].mind.is_some() && self.relays[relay].stalled.is_none();
+        if stands {
+            self.step(relay, Event::Called { call: DRAIN, what: Call::Drain(Box::new(want)) });
+        } else {
+            self.later(AGAIN, Ev::WantsOut { relay, stay });
+        }
+    }
+
+    pub(super) fn replied(&mut self, relay: usize, call: u32, reply: &Reply) {
+        let Some(&stay) = self.outs.stays.get(&relay).filter(|_| call == DRAIN) else { return };
+        if matches!(reply, Reply::Yes(_)) {
+            let away = |other: &usize| {
+                let r = &self.relays[*other];
+                *other != relay
+                    && (r.mind.is_none() || r.stalled.is_some() || self.outs.draining.contains(other))
+            };
+            let away = (0..self.relays.len()).filter(away).count() + 1;
+            self.outs.draining.insert(relay);
+            let (draining, may) = (self.outs.draining.len(), self.day.s.relays.out as usize);
+            let told = &mut self.outs.told;
+            told.let_out += 1;
+            told.most_draining = told.most_draining.max(draining);
+            told.most_away = told.most_away.max(away);
+            told.over += u64::from(draining > may);
+            // The front sees that it answers no more.
+            self.day.clients.relay_is(self.now, relay, false);
+            self.later(stay, Ev::BringsBack { relay });
+        } else {
+            self.outs.told.held += 1;
+            self.later(AGAIN, Ev::WantsOut { relay, stay });
+        }
+    }
+
+    pub(super) fn brings_back(&mut self, relay: usize) {
+        self.outs.draining.remove(&relay);
+        self.outs.back.insert(relay);
+        self.outs.last = self.now;
+        if self.relays[relay].mind.is_some() {
+            self.day.clients.relay_is(self.now, relay, true);
+            self.step(relay, Event::Called { call: 0, what: Call::Activate });
+        }
+    }
+}
