--- a/agreement/src/node.rs
+++ b/agreement/src/node.rs
@@ -304,6 +304,11 @@
         self.voters().contains(&self.own)
     }
 
+    /// Whether `rebased` would change nothing.
+    pub fn is_rebased(&self) -> bool {
+        self.written == 0
+    }
+
     /// The same voter with its writes counted from the last that is on the disk: for who compares states.
     pub fn rebased(&mut self) {
         let base = std::mem::take(&mut self.written);
