--- a/checker/src/voters.rs
+++ b/checker/src/voters.rs
@@ -273,8 +273,9 @@
             state: agreed.encode(),
         };
         let disk = Stored { term: 1, vote: None, snapshot, entries: Vec::new() };
+        let first = Seat { disk, birth: 1, ..Seat::default() };
         let mut world = World {
-            seats: vec![Arc::new(Seat { disk, birth: 1, ..Seat::default() }); self.voters],
+            seats: (0..self.voters).map(|_| Arc::new(first.clone())).collect(),
             net: BTreeMap::new(),
             old: BTreeSet::new(),
             holders,
