The release test waits for a restarted leader before its place is taken

Cause: where the leader that was killed is the relay that is due next, its place was taken before its new process was there.

--- a/relay/tests/release.rs
+++ b/relay/tests/release.rs
@@ -147,6 +147,8 @@
             let other = fleet.until_led();
             assert_eq!(phase(&fleet), "halted");
             fleet.start(leader);
+            // It may be the one that is due: nobody can take the place of a process that is not there yet.
+            fleet.relay(leader).until_ready();
             // What had begun by then goes to its end; nothing begins after it.
             if let Some(one) = due(&fleet).first() {
                 let name = one["name"].as_str().expect("a name").to_string();
