A voter that has its place back applies the log from its beginning on an empty state

Its grants' numbers then differ from the others'. Change: the state is emptied as the voter begins; a test on processes, which says 2 beside 3 without it.

--- a/agreement/src/node.rs
+++ b/agreement/src/node.rs
@@ -140,8 +140,6 @@
         index: Index,
         state: Vec<u8>,
     },
-    /// The names of those who are to be voters.
-    Configured(Vec<Id>),
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -216,10 +214,14 @@
 
 impl Node {
     /// `configured`: the names of all that are to be voters, this one among them.
-    pub fn new(own: Voter, configured: Vec<Id>, stored: Stored, out: &mut Vec<Effect>) -> Node {
+    pub fn new(own: Voter, mut configured: Vec<Id>, stored: Stored, out: &mut Vec<Effect>) -> Node {
+        configured.sort_unstable();
+        configured.dedup();
+        configured.truncate(VOTERS);
         let log = Log::new(stored.snapshot, stored.entries);
-        let mut node = Node {
+        let node = Node {
             own,
+            configured,
             role: if log.is_blank() { Blank } else { Following },
             term: stored.term,
             vote: stored.vote,
@@ -230,7 +232,6 @@
             // What was promised before is not known: as if a leader had just spoken.
             ..Node::default()
         };
-        node.configure(configured);
         if node.applied > 0 {
             out.push(Effect::Restore { snapshot: node.log.snapshot.clone() });
         }
@@ -238,13 +239,6 @@
         node
     }
 
-    fn configure(&mut self, mut configured: Vec<Id>) {
-        configured.sort_unstable();
-        configured.dedup();
-        configured.truncate(VOTERS);
-        self.configured = configured;
-    }
-
     pub fn step(&mut self, event: Event, out: &mut Vec<Effect>) {
         match event {
             Event::Heard(post) => self.heard(post, out),
@@ -261,10 +255,6 @@
                     self.write_snapshot(out);
                 }
             }
-            Event::Configured(ids) => {
-                self.configure(ids);
-                self.mend(out);
-            }
         }
     }
 
@@ -276,14 +266,6 @@
         self.term
     }
 
-    pub fn vote(&self) -> Option<Voter> {
-        self.vote
-    }
-
-    pub fn own(&self) -> Voter {
-        self.own
-    }
-
     pub fn leader(&self) -> Option<Id> {
         self.leader
     }
--- a/relay/src/reducer/agreed.rs
+++ b/relay/src/reducer/agreed.rs
@@ -16,8 +16,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
-/// A leader that is silent for so long, by chance up to twice that, is one no more. Four beats, and longer than
-/// a process stands still on a busy machine.
+/// A leader that is silent for so long, by chance up to twice that, is one no more. Four beats, and longer
+/// than a process stands still on a busy machine.
 const PATIENCE: Micros = 1_000_000;
 const BEAT: Micros = 250_000;
 /// Entries after which what came of them takes their place.
@@ -122,15 +122,21 @@
         if let Some(stored) = own.filter(|stored| stored.shut.0 >= a.shut.0) {
             a.shut.clone_from(&stored.shut);
         }
-        let Some(stored) = stored.filter(|_| a.votes() && a.node.is_none()) else { return };
+        // A voter whose disk is not read does not know what it promised.
+        if stored.is_none() || !a.votes() || a.node.is_some() {
+            return;
+        }
         let (birth, agreed) = match own.and_then(|own| Some((own.birth?, own.agreed.clone()))) {
             Some(known) => known,
             None => {
                 note("this relay's disk holds no promise: it votes as a new voter, once it is let in", out);
-                _ = stored;
                 (seed ^ now.rotate_left(20) | 1, agreement::Stored::default())
             }
         };
+        // A birth that is not on the disk is none after the next start.
+        out.push(Effect::Keep { kept: Kept::vote(birth, agreed.term, agreed.vote), before: None });
+        // Guards a process that has its place back: the log is applied from its beginning once more.
+        (a.state, a.applied) = Default::default();
         let mut told = Vec::new();
         a.birth = birth;
         a.life += 1;
@@ -139,8 +145,6 @@
         let id = server_id(&a.own);
         let ids = a.names.keys().copied().collect();
         a.node = Some(Node::new(Voter { id, birth }, ids, agreed, &mut told));
-        // A birth that is not on the disk is none after the next start.
-        out.push(Effect::Keep { kept: Kept::vote(birth, self_term(a), self_vote(a)), before: None });
         self.carry_agreed(told, out);
     }
 
@@ -200,8 +204,7 @@
                     Ok(state) => (a.state, a.applied) = (state, snapshot.index),
                     Err(_) => self.too_old("a snapshot", out),
                 },
-                agreement::Effect::Refused { ticket, .. } => {
-                    let leader = a.node.as_ref().and_then(Node::leader);
+                agreement::Effect::Refused { ticket, leader } => {
                     let leader = leader.and_then(|id| a.names.get(&id)).map(ToString::to_string);
                     self.answer_ticket(Some(ticket), Told::Elsewhere(leader), out);
                 }
@@ -322,14 +325,6 @@
     }
 }
 
-fn self_term(a: &Agreed) -> u64 {
-    a.node.as_ref().map_or(0, Node::term)
-}
-
-fn self_vote(a: &Agreed) -> Option<Voter> {
-    a.node.as_ref().and_then(Node::vote)
-}
-
 impl Agreed {
     /// A write as facts for the store.
     fn written(&mut self, write: Write) -> Vec<Kept> {
--- a/relay/tests/grants.rs
+++ b/relay/tests/grants.rs
@@ -189,3 +189,24 @@
     assert_eq!(drain(fleet.relay(1)).0, 200);
     assert!(begun.elapsed() < Duration::from_secs(20));
 }
+
+/// A voter's place is taken by a process that dies at once: it has the place back, and what it had applied counts
+/// once.
+#[test]
+fn a_voter_that_has_its_place_back_has_the_state_of_the_others() {
+    let mut fleet = Fleet::started("back", 3, 3, &one());
+    assert_eq!(drain(fleet.relay(2)).0, 200);
+    assert_eq!(fleet.relay(2).call("POST", "/v1/relay/activate").0, 200);
+    fleet.until_known(3);
+    let mut new = fleet.sites[1].start();
+    new.until_ready();
+    new.child.kill().expect("it lives");
+    until("the old one votes again", || {
+        told(fleet.relay(1)).is_some_and(|t| t["role"] != "no voter" && t["index"] != 0)
+    });
+    fleet.until_known(3);
+    assert_eq!(drain(fleet.relay(2)).0, 200);
+    let grant = |i: usize| row(fleet.relay(i), "relay r2").map(|r| r["grant"].clone());
+    until("both have heard", || grant(0).is_some() && grant(1).is_some());
+    assert_eq!(grant(0), grant(1), "the same log, the same numbers");
+}
