Read once more: one group of arguments, scenes by what differs, no copy of the store

hallrelay drain and release share who asks and why; the checker's scenes name what differs from a plain one; a start takes what the store held instead of a copy of it; one place writes the name of an entry. A relay tells the sessions of its busiest servers first, so that those past the bound of 64 have their turn: the first by id came each time.

--- a/checker/src/main.rs
+++ b/checker/src/main.rs
@@ -11,7 +11,8 @@
 #[derive(Parser)]
 #[command(name = "hallrelay-checker", version)]
 struct Line {
-    /// One of the scenes: elections, crashes, holders, leaders, disks, unplanned, snapshots, restarts, releases. All where none is named.
+    /// One of the scenes: elections, crashes, holders, leaders, disks, unplanned, snapshots, restarts,
+    /// releases. All where none is named.
     scene: Vec<String>,
     /// Plants each known fault and wants it found.
     #[arg(long)]
--- a/checker/src/scenes.rs
+++ b/checker/src/scenes.rs
@@ -33,93 +33,75 @@
     compacts: 0,
 };
 
+/// Three voters, the first of which leads, and one holder.
+const PLAIN: Scene = Scene {
+    name: "",
+    voters: 3,
+    holders: 1,
+    few: NONE,
+    led: true,
+    out: false,
+    slow_disks: false,
+    finds: &[],
+};
+
 pub const ALL: [Scene; 8] = [
     // Who leads, with messages that come late and twice.
-    Scene {
-        name: "elections",
-        voters: 3,
-        holders: 1,
-        few: Few { impatient: 2, doubled: 1, late: 1, ..NONE },
-        led: false,
-        out: false,
-        slow_disks: false,
-        finds: &[],
-    },
+    Scene { name: "elections", few: Few { impatient: 2, doubled: 1, late: 1, ..NONE }, led: false, ..PLAIN },
     // Processes that die between a write and the disk.
     Scene {
         name: "crashes",
-        voters: 3,
-        holders: 1,
         few: Few { impatient: 3, crashes: 1, ..NONE },
         led: false,
-        out: false,
         slow_disks: true,
         finds: &[Planted::VoteNotSynced],
+        ..PLAIN
     },
     // Two who want to be out where one may.
     Scene {
         name: "holders",
-        voters: 3,
         holders: 2,
         few: Few { asks: 4, lapses: 1, ..NONE },
-        led: true,
-        out: false,
-        slow_disks: false,
         finds: &[Planted::BeginsUnagreed, Planted::LapsesWhileOut],
+        ..PLAIN
     },
     // The same, and a leader that changes meanwhile.
     Scene {
         name: "leaders",
-        voters: 3,
         holders: 2,
         few: Few { impatient: 2, late: 1, asks: 2, ..NONE },
-        led: true,
-        out: false,
-        slow_disks: false,
         finds: &[Planted::AnswersAhead, Planted::LogNotCompared],
+        ..PLAIN
     },
     // Disks that are lost, and entries that never came to one.
     Scene {
         name: "disks",
-        voters: 3,
-        holders: 1,
         few: Few { impatient: 2, disks: 1, crashes: 1, beats: 1, asks: 1, ..NONE },
-        led: true,
-        out: false,
-        slow_disks: false,
         finds: &[Planted::DiskLostUnsaid, Planted::LogNotSynced],
+        ..PLAIN
     },
     // One who dies, and is back cold, while another asks.
     Scene {
         name: "unplanned",
-        voters: 3,
         holders: 2,
         few: Few { impatient: 1, asks: 2, deaths: 1, ..NONE },
-        led: true,
-        out: false,
-        slow_disks: false,
         finds: &[Planted::ColdCountsIn, Planted::LeaderRemembers],
+        ..PLAIN
     },
     // Logs made short while one is out, by voters that came back with that.
     Scene {
         name: "snapshots",
-        voters: 3,
         holders: 2,
         few: Few { impatient: 1, asks: 2, crashes: 1, compacts: 1, ..NONE },
-        led: true,
         out: true,
-        slow_disks: false,
         finds: &[Planted::NumbersForgotten, Planted::BudgetsForgotten],
+        ..PLAIN
     },
     // A voter that starts anew and hears all of it again.
     Scene {
         name: "restarts",
-        voters: 3,
-        holders: 1,
         few: Few { asks: 1, lapses: 1, crashes: 1, beats: 3, ..NONE },
-        led: true,
-        out: false,
-        slow_disks: false,
         finds: &[Planted::AppliedTwice],
+        ..PLAIN
     },
 ];
--- a/checker/src/voters.rs
+++ b/checker/src/voters.rs
@@ -77,8 +77,8 @@
     pub crashes: u8,
     /// One that starts without a disk.
     pub disks: u8,
-    /// A message that comes and comes again at some later time, and one that comes late, when newer ones of its
-    /// kind have gone the same way.
+    /// A message that comes and comes again at some later time, and one that comes late, when newer ones of
+    /// its kind have gone the same way.
     pub doubled: u8,
     pub late: u8,
     /// Beats of a leader.
@@ -117,8 +117,8 @@
 pub struct World {
     /// Shared with the states before and after it, as most steps touch one or two.
     seats: Vec<Arc<Seat>>,
-    /// One of a kind on each way: a newer one takes the place of one that was not delivered, which is lost. In no
-    /// other order.
+    /// One of a kind on each way: a newer one takes the place of one that was not delivered, which is lost.
+    /// In no other order.
     net: BTreeMap<(u32, u32, u8), Post>,
     /// Held up, to come at any time.
     old: BTreeSet<Post>,
@@ -559,9 +559,7 @@
                 w.few.beats -= 1;
                 self.event(&mut w, *seat, Event::Alarm(Alarm::Beat));
             }
-            Step::Written(seat) => {
-                self.sync(&mut w, *seat);
-            }
+            Step::Written(seat) => self.sync(&mut w, *seat),
             Step::Crash(seat) => {
                 w.few.crashes -= 1;
                 self.start(&mut w, *seat);
--- a/checker/tests/scenes.rs
+++ b/checker/tests/scenes.rs
@@ -1,4 +1,5 @@
-//! Scenes that are small enough are searched whole, with the same counts every time; planted faults are found.
+//! Scenes that are small enough are searched whole, with the same counts every time; planted faults are
+//! found.
 use hallrelay_checker::releases::{self, Releases};
 use hallrelay_checker::scenes::ALL;
 use hallrelay_checker::search::{search, Bounds, Found};
--- a/config/src/scenario/trouble.rs
+++ b/config/src/scenario/trouble.rs
@@ -74,7 +74,8 @@
     RelayLooping,
     /// A new process takes the place of the running one.
     RelayReplaced,
-    /// An operator wants each of them out, asks till it is let out, and brings it back after `strength` seconds.
+    /// An operator wants each of them out, asks till it is let out, and brings it back after `strength`
+    /// seconds.
     RelaysOut,
     /// Ways between relays, and those between some relays and the list service or some servers.
     LinkCut,
--- a/grants/src/state.rs
+++ b/grants/src/state.rs
@@ -445,8 +445,8 @@
         }
     }
 
-    /// The budget that has no room for one, if there is such. Who is down takes room like any other: it may be up
-    /// again while it is out.
+    /// The budget that has no room for one, if there is such. Who is down takes room like any other: it may
+    /// be up again while it is out.
     pub fn held(&self, thing: &Thing, r: &Record) -> Option<Held> {
         for budget in self.budgets.iter().filter(|budget| budget.of == thing.kind()) {
             let joins = |(other, at): &(&Thing, &Record)| {
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -43,7 +43,8 @@
     if let Some(outs) = &o.outs {
         _ = writeln!(
             t,
-            "relays let out {} of {} wanted (told to wait {} times), {} at a time at most, {} with the dead; over what may: {}; {:.0} s in all",
+            "relays let out {} of {} wanted (told to wait {} times), {} at a time at most, {} with the dead; \
+             over what may: {}; {:.0} s in all",
             outs.let_out, outs.wanted, outs.held, outs.most_draining, outs.most_away, outs.over, outs.took_s
         );
     }
--- a/recovery/src/fact.rs
+++ b/recovery/src/fact.rs
@@ -117,13 +117,11 @@
     }
 
     pub fn entry(entry: &Entry) -> Kept {
-        // Of one length, so that they stand in their order.
-        let name = format!("{:020}", entry.index);
-        Kept { fact: Fact::Entry, name, bytes: postcard::to_stdvec(entry).ok() }
+        Kept { fact: Fact::Entry, name: entry_name(entry.index), bytes: postcard::to_stdvec(entry).ok() }
     }
 
     pub fn no_entry(index: u64) -> Kept {
-        Kept::forgotten(Fact::Entry, &format!("{index:020}"))
+        Kept::forgotten(Fact::Entry, &entry_name(index))
     }
 
     pub fn snapshot(snapshot: &Snapshot) -> Kept {
@@ -140,6 +138,11 @@
     }
 }
 
+/// Of one length, so that they stand in their order.
+pub(crate) fn entry_name(index: u64) -> String {
+    format!("{index:020}")
+}
+
 /// One server as it was told last.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServerTold {
--- a/recovery/src/trust.rs
+++ b/recovery/src/trust.rs
@@ -1,5 +1,5 @@
 //! What of a store is trusted: how old it may be, what outranks it, what is assumed when nothing is known.
-use crate::fact::{Fact, Stored};
+use crate::fact::{entry_name, Fact, Stored};
 use hallrelay::types::{Micros, Phase};
 use hallrelay_config::list::{Instance, List};
 
@@ -107,7 +107,7 @@
         r.forgotten.extend(servers.chain(stored.turns.keys().map(|id| (Fact::Turn, id.clone()))));
         let alone = [Fact::List, Fact::Vote, Fact::Snapshot, Fact::Shut];
         r.forgotten.extend(alone.map(|fact| (fact, String::new())));
-        let entries = stored.agreed.entries.iter().map(|one| (Fact::Entry, format!("{:020}", one.index)));
+        let entries = stored.agreed.entries.iter().map(|one| (Fact::Entry, entry_name(one.index)));
         r.forgotten.extend(entries);
         r.missing.clone_from(&r.list.instances);
         return r;
--- a/relay/src/drain.rs
+++ b/relay/src/drain.rs
@@ -52,18 +52,24 @@
 pub struct At {
     /// The asked relay's second address (`operator` of its configuration).
     #[arg(long, env = "NODE_OPERATOR")]
-    at: SocketAddr,
+    pub at: SocketAddr,
 }
 
 #[derive(clap::Args)]
-pub struct Asks {
+pub struct Says {
     #[command(flatten)]
-    at: At,
+    pub at: At,
     /// Who asks; status tells it.
     #[arg(long, env = "USER", default_value = "an operator")]
-    by: String,
+    pub by: String,
     #[arg(long, default_value = "")]
-    why: String,
+    pub why: String,
+}
+
+#[derive(clap::Args)]
+pub struct Asks {
+    #[command(flatten)]
+    says: Says,
     /// Past the budgets; said in status and in the log.
     #[arg(long)]
     force: bool,
@@ -74,7 +80,7 @@
 
 impl Asks {
     fn body(&self, backend: Option<&str>) -> String {
-        let mut body = json!({"by": self.by, "why": self.why, "force": self.force});
+        let mut body = json!({"by": self.says.by, "why": self.says.why, "force": self.force});
         if let Some(backend) = backend {
             body["backend"] = json!(backend);
         }
@@ -82,12 +88,6 @@
     }
 }
 
-impl At {
-    pub fn at(&self) -> SocketAddr {
-        self.at
-    }
-}
-
 impl Kind {
     pub fn key(self) -> &'static str {
         match self {
@@ -137,7 +137,7 @@
 async fn asked(asks: &Asks, path: &'static str, body: String) -> Result<(u16, String), String> {
     let until = Instant::now() + Duration::from_secs(asks.wait);
     loop {
-        let (status, text) = post(asks.at.at, path, body.clone()).await?;
+        let (status, text) = post(asks.says.at.at, path, body.clone()).await?;
         if status != 409 || Instant::now() >= until {
             return Ok((status, text));
         }
--- a/relay/src/reducer/keep.rs
+++ b/relay/src/reducer/keep.rs
@@ -14,12 +14,11 @@
         out.push(Effect::Keep { kept, before: None });
     }
 
-    /// What of it is trusted; none where nothing is kept, or another process tells what there is to know.
-    pub(super) fn recovered(&mut self, now: Micros, out: &mut Vec<Effect>) -> Option<Recovered> {
-        let stored = self.stored.take()?;
+    /// What of it is trusted.
+    pub(super) fn recovered(&mut self, now: Micros, stored: &Stored, out: &mut Vec<Effect>) -> Recovered {
         let (node, warm_up) = (&self.node, self.node.site.facts.cold);
         let discovery = node.discovery.to_string();
-        let mut r = recover(now, &node.name, &discovery, warm_up, &node.known, &stored);
+        let mut r = recover(now, &node.name, &discovery, warm_up, &node.known, stored);
         std::mem::take(&mut r.words).into_iter().for_each(|word| note(word, out));
         for (fact, name) in std::mem::take(&mut r.forgotten) {
             self.keep(Kept::forgotten(fact, &name), out);
@@ -28,7 +27,7 @@
         for one in &r.missing {
             self.keep(Kept::server(r.list.generation, now, one), out);
         }
-        Some(r)
+        r
     }
 
     /// Turns that were spent before count as spent.
--- a/relay/src/reducer/mod.rs
+++ b/relay/src/reducer/mod.rs
@@ -501,10 +501,10 @@
         let voters = self.node.fleet.as_ref().and_then(|fleet| fleet.voters.as_ref());
         let agreed = voters.map(|told| agreed::Agreed::new(&self.node.name, told, self.node.seed, now));
         self.agreed = agreed.map(Box::new);
-        let stored = self.stored.clone();
+        let stored = self.stored.take();
         self.begin_to_agree(stored.as_deref(), out);
         self.begin_to_look(out);
-        let recovered = self.recovered(now, out).unwrap_or_default();
+        let recovered = stored.map(|stored| self.recovered(now, &stored, out)).unwrap_or_default();
         let stored = (!recovered.list.instances.is_empty()).then(|| recovered.list.clone());
         let known = stored.unwrap_or(List { whole: true, ..self.node.known.clone() });
         self.generation = Some(known.generation);
--- a/relay/src/reducer/release.rs
+++ b/relay/src/reducer/release.rs
@@ -104,7 +104,10 @@
         }
         let own = all.less(std::mem::replace(&mut self.tallied, all));
         let mut told = vec![(Thing::Relay(self.node.name.clone()), own.sessions, own.bad)];
-        for v in self.servers.values_mut().filter(|v| v.tally.sessions > 0).take(TOLD) {
+        // Most first: what is left for the next look grows till it is among them.
+        let mut some: Vec<_> = self.servers.values_mut().filter(|v| v.tally.sessions > 0).collect();
+        some.sort_by_key(|v| std::cmp::Reverse(v.tally.sessions));
+        for v in some.into_iter().take(TOLD) {
             let tally = std::mem::take(&mut v.tally);
             told.push((Thing::Server(v.told.id.clone()), tally.sessions, tally.bad));
         }
--- a/relay/src/reducer/shut.rs
+++ b/relay/src/reducer/shut.rs
@@ -1,5 +1,5 @@
-//! Servers that are out by what is agreed: nothing new goes there, and the whole fleet moves their sessions at
-//! one rate. What was heard last holds till a later word: hearing nobody opens none.
+//! Servers that are out by what is agreed: nothing new goes there, and the whole fleet moves their sessions
+//! at one rate. What was heard last holds till a later word: hearing nobody opens none.
 use super::{note, Effect, Reducer, Stage};
 use hallrelay::types::{Phase, SessId};
 use hallrelay_agreement::Index;
--- a/relay/src/release.rs
+++ b/relay/src/release.rs
@@ -1,5 +1,6 @@
-//! `hallrelay release`: asks a relay to begin a release, to halt it, to go on or back, and says how it stands.
-use crate::drain::{finish, At};
+//! `hallrelay release`: asks a relay to begin a release, to halt it, to go on or back, and says how it
+//! stands.
+use crate::drain::{finish, At, Kind, Says};
 use crate::status::{get, post};
 use serde_json::json;
 use std::path::PathBuf;
@@ -19,7 +20,7 @@
     },
     /// What was due is done, or could not be: `relay NAME` or `backend ID`, under the grant that was due.
     Did {
-        kind: crate::drain::Kind,
+        kind: Kind,
         name: String,
         #[arg(long)]
         grant: u64,
@@ -46,16 +47,6 @@
     },
 }
 
-#[derive(clap::Args)]
-pub struct Says {
-    #[command(flatten)]
-    at: At,
-    #[arg(long, env = "USER", default_value = "an operator")]
-    by: String,
-    #[arg(long, default_value = "")]
-    why: String,
-}
-
 pub fn run(what: Release) -> Result<u8, String> {
     finish(tried(what))
 }
@@ -67,21 +58,19 @@
             let text = std::fs::read_to_string(&plan).map_err(|e| format!("{file}: {e}"))?;
             let plan = hallrelay_config::plan::read(&file, &text)?;
             let plan = serde_json::to_string(&plan).map_err(|e| e.to_string())?;
-            post(at.at(), "/v1/release/start", plan).await
+            post(at.at, "/v1/release/start", plan).await
         }
-        Release::Status { at } => get(at.at(), "/v1/release").await,
+        Release::Status { at } => get(at.at, "/v1/release").await,
         Release::Did { kind, name, grant, failed, at } => {
             let body = json!({kind.key(): name, "grant": grant, "failed": failed});
-            post(at.at(), "/v1/release/did", body.to_string()).await
+            post(at.at, "/v1/release/did", body.to_string()).await
         }
-        Release::Halt { says } => says.say("/v1/release/halt").await,
-        Release::Resume { says } => says.say("/v1/release/resume").await,
-        Release::Back { says } => says.say("/v1/release/back").await,
+        Release::Halt { says } => say(&says, "/v1/release/halt").await,
+        Release::Resume { says } => say(&says, "/v1/release/resume").await,
+        Release::Back { says } => say(&says, "/v1/release/back").await,
     }
 }
 
-impl Says {
-    async fn say(&self, path: &'static str) -> Result<(u16, String), String> {
-        post(self.at.at(), path, json!({"by": self.by, "why": self.why}).to_string()).await
-    }
+async fn say(says: &Says, path: &'static str) -> Result<(u16, String), String> {
+    post(says.at.at, path, json!({"by": says.by, "why": says.why}).to_string()).await
 }
--- a/relay/src/talk.rs
+++ b/relay/src/talk.rs
@@ -19,8 +19,9 @@
         call: u64,
         told: Told,
     },
-    /// What a relay says of itself, to all voters, each second: whether it serves, the sessions left at servers that
-    /// are out, and those that came to an answer since, by relay and server, with the bad ones among them.
+    /// What a relay says of itself, to all voters, each second: whether it serves, the sessions left at
+    /// servers that are out, and those that came to an answer since, by relay and server, with the bad ones
+    /// among them.
     Serving {
         zone: String,
         kind: String,
