--- a/relay/tests/common/mod.rs
+++ b/relay/tests/common/mod.rs
@@ -254,10 +254,17 @@
         _ = self.0.get_mut().write_all(format!("{line}\r\n").as_bytes());
     }
 
+    /// Ends its sending, and reads on.
+    pub fn shut(&self) {
+        _ = self.0.get_ref().shutdown(std::net::Shutdown::Write);
+    }
+
     /// What is there already, or comes at once.
     pub fn hears_now(&mut self) -> Option<String> {
         self.0.get_ref().set_read_timeout(Some(Duration::from_millis(20))).expect("a timeout");
-        self.hear().ok()
+        let heard = self.hear().ok();
+        self.0.get_ref().set_read_timeout(Some(SOON)).expect("a timeout");
+        heard
     }
 
     pub fn hear(&mut self) -> Result<String, Miss> {
