--- a/config/src/limits.rs
+++ b/config/src/limits.rs
@@ -34,6 +34,8 @@
     pub wait: Micros,
     /// An answer leaves this long before the client's time is up.
     pub answer_margin: Micros,
+    /// How long after that it is still said.
+    pub answer_late: Micros,
     pub probe: Micros,
     pub probe_idle: Micros,
     /// A message that brings nothing back for this long: the backend is taken for silent.
@@ -140,6 +142,8 @@
             wait: longest * 10,
             // Clients take answers a little late as well, but the wake-up of a busy core takes some of it.
             answer_margin: 10 * MS,
+            // Beyond half a second a session counts as lost, whatever comes.
+            answer_late: 510 * MS,
             // A probe is a small message: twice what a connect may take.
             probe: site.connect * 2,
             probe_idle: 30_000 * MS,
--- a/relay/src/reducer/sessions.rs
+++ b/relay/src/reducer/sessions.rs
@@ -108,11 +108,12 @@
         }
     }
 
-    /// The final answer, or none where the client's time is up: rule 1, for a relay that stood still.
+    /// The final answer, or none where the client's time was up long ago: rule 1, for a relay that stood still.
     pub(super) fn answer(&mut self, sess: SessId, answer: Effect, out: &mut Vec<Effect>) {
         let Some(s) = self.over(sess) else { return };
         let figures = self.figures.of_listener(&s.listener);
-        let late = self.now > s.due + self.node.limits.answer_margin;
+        // Up to then a client takes an answer still, though it earns nothing; no answer would lose the session.
+        let late = self.now > s.due + self.node.limits.answer_late;
         match answer {
             Effect::Refuse { .. } if !late => figures.dropped += 1,
             _ => figures.failed += 1,
