A stop is over before it may be killed, whatever the dial timeouts

Cause: Limits::new had stop_from, stop_by, stop_end and leave_by follow the longest dial timeout; SIGKILL follows 3 s of it at most, and 0.7 s. With short ones the floors of 0.8 s and 1 s came after a kill at 0.8 s. Ruled out: crossings between tasks (single sessions, mended apart), a full event queue, SIGHUP beside it. Change: all times of a stop are counted back from the kill.

--- a/config/src/limits.rs
+++ b/config/src/limits.rs
@@ -113,6 +113,9 @@
             return Err(format!("limits.sockets is {sockets}, wanted {} at least", own * 2));
         }
         let longest = site.dial_timeouts.iter().copied().max().unwrap_or(0);
+        // An ordered stop: SIGKILL comes no sooner than the longest dial timeout, 3 s at most, and 0.7 s more.
+        let patience = longest.min(3_000 * MS);
+        let kill = patience + 700 * MS;
         // Two watch calls fit into the time that a relay may go unasked.
         let ask = site.ask_within.unwrap_or(10_000 * MS);
         Ok(Limits {
@@ -157,11 +160,11 @@
             discovery_silence: (ask / 2).min(5_000 * MS),
             // Whom the only relay that is up moves early waits for the next start, and longer with each try.
             // The front goes on sending new connections for 0.2 to 0.4 s.
-            stop_from: longest.max(500 * MS),
-            // SIGKILL may come 0.7 s after the longest dial timeout; the last moved need time to leave.
-            stop_by: (longest + 350 * MS).max(800 * MS),
-            stop_end: (longest + 550 * MS).max(1000 * MS),
-            stop_least: 1000 * MS,
+            stop_from: patience.max(500 * MS).min(kill - 450 * MS),
+            // The last moved need time to leave.
+            stop_by: kill - 350 * MS,
+            stop_end: kill - 150 * MS,
+            stop_least: (1000 * MS).min(kill - 150 * MS),
             standing: 40_000 * MS,
             callers: Self::CALLERS,
             // A call is one small packet; answers are owed within a second.
@@ -192,7 +195,7 @@
             offer: 2_000 * MS,
             // The next process is there for whoever is moved: nothing is gained by waiting.
             leave_from: 100 * MS,
-            leave_by: longest.max(1_000 * MS),
+            leave_by: patience.max(1_000 * MS).min(kill - 350 * MS),
         })
     }
 }
--- /dev/null
+++ b/config/tests/limits.rs
@@ -0,0 +1,35 @@
+//! Times that follow from the settings, over the whole range of what settings may say.
+use hallrelay_config::limits::Limits;
+use hallrelay_config::node::{self, Told};
+use serde_json::{json, Value};
+
+const MS: u64 = 1000;
+
+fn limits(tune: impl FnOnce(&mut Value)) -> Limits {
+    let text = include_str!("../../deploy/example/relay.json");
+    let mut text: Value = serde_json::from_str(text).expect("the example is JSON");
+    tune(&mut text["settings"]);
+    node::parse(text.to_string().as_bytes(), &Told::default()).expect("it is sound").limits
+}
+
+/// SIGKILL comes no sooner than the longest dial timeout, 3 s at most, and 0.7 s after SIGTERM: by then all is over.
+#[test]
+fn a_stop_is_over_before_it_may_be_killed_whatever_the_dial_timeouts() {
+    for timeout in [1, 20, 50, 100, 150, 450, 500, 1_200, 1_800, 3_000, 3_001, 4_800, 30_000, 600_000] {
+        let l = limits(|settings| settings["Listeners"][1]["DialTimeout"] = json!(timeout));
+        // The other listener's is 1.8 s.
+        let kill = timeout.clamp(1_800, 3_000) * MS + 700 * MS;
+        let short = limits(|settings| {
+            settings["Listeners"][0]["DialTimeout"] = json!(timeout);
+            settings["Listeners"][1]["DialTimeout"] = json!(timeout);
+        });
+        for (l, kill) in [(l, kill), (short, timeout.min(3_000) * MS + 700 * MS)] {
+            // Clients come for 0.4 s; moves are spread over some ticks of 50 ms, and the last ones have time to go.
+            assert!(l.stop_from >= 250 * MS && l.stop_from + 100 * MS <= l.stop_by, "{timeout}: {l:?}");
+            assert!(l.stop_by + 200 * MS <= l.stop_end && l.stop_end + 100 * MS <= kill, "{timeout}: {l:?}");
+            assert!(l.stop_least >= 400 * MS && l.stop_least <= l.stop_end, "{timeout}: {l:?}");
+            assert!(l.leave_from < l.leave_by && l.leave_by + 300 * MS <= kill, "{timeout}: {l:?}");
+        }
+    }
+}
+
--- a/relay/tests/stops.rs
+++ b/relay/tests/stops.rs
@@ -125,3 +125,13 @@
     assert!(relay.child.wait().expect("a child").success());
 }
 
+#[test]
+fn a_stop_is_over_in_time_with_long_dial_timeouts() {
+    stopped_with("long", 4800, &["TERM"]);
+}
+
+#[test]
+fn a_stop_is_over_in_time_with_short_dial_timeouts() {
+    stopped_with("short", 150, &["TERM"]);
+}
+
