Who is half way through a first line as a relay leaves is told to come again

Cause: Reducer::empty left with connections aside after stop_end; a client in the middle of its line was cut off without a word. Lines: `empty` in duty.rs. Change: at stop_end they are shed with BUSY, and the process leaves a tick later.

--- a/relay/src/reducer/duty.rs
+++ b/relay/src/reducer/duty.rs
@@ -144,6 +144,10 @@
         self.pong(out);
     }
 
+    pub(super) fn stops(&self) -> bool {
+        matches!(self.duty, Stopping | Leaving)
+    }
+
     /// Since when a drain is in force.
     pub(super) fn draining(&self) -> Option<Micros> {
         matches!(self.duty, Draining | Away).then_some(self.since)
@@ -217,12 +221,17 @@
         let limits = self.node.limits;
         let (_, by) = self.duty.plan(&limits);
         let since = self.now - self.since;
-        if matches!(self.duty, Stopping | Leaving) {
+        if self.stops() {
             if self.duty == Leaving {
                 self.unwatch(out);
             }
-            // Last lines go out before it leaves; who is no session is not waited for much longer than those.
-            let empty = self.sessions.is_empty() && (self.aside.is_empty() || since >= limits.stop_end);
+            // Last lines go out before it leaves; who is no session is not waited for much longer than those. Guards
+            // clients half way through their first line: they are told to come again, and have a moment to hear it.
+            let left = self.aside.is_empty() || since >= limits.stop_end + TICK;
+            if since >= limits.stop_end {
+                out.extend(self.aside.drain(..).map(|(conn, _)| Effect::Shed { conn }));
+            }
+            let empty = self.sessions.is_empty() && left;
             if empty && (since >= limits.stop_least || self.duty == Leaving) {
                 self.leave_fleet(out);
                 return out.push(Effect::Exit);
--- a/relay/tests/stops.rs
+++ b/relay/tests/stops.rs
@@ -120,6 +120,8 @@
         other => panic!("{other:?}"),
     }
     late.shut();
+    // An answer, whatever it is: it was not served, and it was not cut off.
+    assert!(matches!(half.hear(), Ok(ref line) if line == "BUSY" || line == "ERR"), "who was half way");
     until("it ends", || relay.has_ended());
     assert!(Instant::now() < end, "it would have been killed: {:?} too late", Instant::now() - end);
     assert!(relay.child.wait().expect("a child").success());
