New settings during a stop never make it longer

Cause: Duty::plan reads the limits in force; a SIGHUP behind SIGTERM with longer dial timeouts put the moves off beyond the kill, which counts from what held at SIGTERM. Change: a retune while the relay stops takes the earlier of both for each time of the stop.

--- a/config/src/limits.rs
+++ b/config/src/limits.rs
@@ -102,6 +102,16 @@
     /// Streams of other relays, each way.
     const FLEET_STREAMS: usize = 8;
 
+    /// Keeps an ordered stop that was begun under other settings: it takes no longer than it would have.
+    pub fn stop_no_later(&mut self, before: &Limits) {
+        let earlier = |own: &mut Micros, before: Micros| *own = before.min(*own);
+        earlier(&mut self.stop_from, before.stop_from);
+        earlier(&mut self.stop_by, before.stop_by);
+        earlier(&mut self.stop_end, before.stop_end);
+        earlier(&mut self.stop_least, before.stop_least);
+        earlier(&mut self.leave_by, before.leave_by);
+    }
+
     pub fn new(site: &Site, sockets: usize, uses: Uses) -> Result<Limits, String> {
         let own = Self::OWN_SOCKETS + usize::from(uses.operator) * (Self::CALLERS + 1 + Self::DOOR);
         // The lock, the log, the one that is to take its place, the folder.
--- a/relay/src/reducer/watch.rs
+++ b/relay/src/reducer/watch.rs
@@ -57,9 +57,14 @@
     /// listeners is its own, and its dial timeout is in its due time.
     fn tune(&mut self, node: &Node, out: &mut Vec<Effect>) {
         let zones = node.site.zones != self.node.site.zones;
+        let before = self.node.limits;
         if node.site == self.node.site || self.node.tune(node.site.clone()).is_err() {
             return;
         }
+        // Guards a stop that is under way: whoever will end this process counts from what held as it was told to stop.
+        if self.stops() {
+            self.node.limits.stop_no_later(&before);
+        }
         self.node.digest = node.digest;
         let (site, limits) = (&self.node.site, Box::new(self.node.limits));
         let (facts, order) = (Box::new(site.facts.clone()), site.report);
--- a/relay/tests/stops.rs
+++ b/relay/tests/stops.rs
@@ -137,3 +137,8 @@
     stopped_with("short", 150, &["TERM"]);
 }
 
+#[test]
+fn a_stop_beside_a_reload_and_another_stop_is_over_in_time() {
+    stopped_with("reloaded", 900, &["HUP", "TERM", "TERM", "INT"]);
+}
+
