Signals wait in the first milliseconds of a start till they are caught

Cause: Signals::caught is called after the configuration is read and the log begun. A SIGHUP before that ended the program (its default), so a relay restarted beside a reload was dead; a SIGTERM ended it by a signal. Change: What::Serve blocks both and the interrupt first, serve::run opens them once they are caught. Left: the loader's own time before main, in which nobody is connected. Seen to fail without it, with a pipe in place of the configuration that holds the program there: stops.rs:196: it is read: Broken pipe, for both signals.

--- a/relay/src/cli.rs
+++ b/relay/src/cli.rs
@@ -1,6 +1,6 @@
 //! The command line, for `hallrelay` itself and for programs that start a relay of their own.
 use crate::drain;
-use crate::net::serve;
+use crate::net::{serve, stop};
 use crate::release;
 use crate::shelf::{self, Shelf};
 use crate::status;
@@ -158,6 +158,7 @@
             println!("{:#?}", node.limits);
         }
         What::Serve { given, verbose } => {
+            stop::hold();
             let node = given.read(&given.told())?;
             let level = match verbose {
                 0 => slog::Level::Info,
--- a/relay/src/net/mod.rs
+++ b/relay/src/net/mod.rs
@@ -14,7 +14,7 @@
 mod probe;
 mod read;
 pub mod serve;
-mod stop;
+pub mod stop;
 mod store;
 
 use crate::clock::Clock;
--- a/relay/src/net/serve.rs
+++ b/relay/src/net/serve.rs
@@ -54,6 +54,7 @@
     log: slog::Logger,
 ) -> std::io::Result<()> {
     let signals = stop::Signals::caught()?;
+    stop::open();
     let limits = node.limits;
     let (events, mut arrived) = mpsc::channel(limits.events);
     let clock = Clock::anchored();
--- a/relay/src/net/stop.rs
+++ b/relay/src/net/stop.rs
@@ -18,10 +18,43 @@
     }
 }
 
-pub async fn run(signals: Signals, reread: impl Fn() -> Result<Node, String>, hub: Hub) {
+/// The signals that `Signals` catches.
+fn ours() -> Option<libc::sigset_t> {
+    // SAFETY: the set is a plain struct that the first call fills; the others change it alone.
+    unsafe {
+        let mut set: libc::sigset_t = std::mem::zeroed();
+        let filled = libc::sigemptyset(&raw mut set) == 0
+            && [libc::SIGTERM, libc::SIGINT, libc::SIGHUP]
+                .iter()
+                .all(|signal| libc::sigaddset(&raw mut set, *signal) == 0);
+        filled.then_some(set)
+    }
+}
+
+fn mask(how: libc::c_int) {
+    if let Some(set) = ours() {
+        // SAFETY: it reads the set and changes this thread's mask alone.
+        unsafe { libc::pthread_sigmask(how, &raw const set, std::ptr::null_mut()) };
+    }
+}
+
+/// Keeps signals waiting till they are caught. Guards the first milliseconds of a start, in which a reload would
+/// end the program.
+pub fn hold() {
+    mask(libc::SIG_BLOCK);
+}
+
+/// Lets those through that came meanwhile.
+pub fn open() {
+    mask(libc::SIG_UNBLOCK);
+}
+
+pub(super) async fn run(signals: Signals, reread: impl Fn() -> Result<Node, String>, hub: Hub) {
     let Signals { stops: [mut term, mut interrupt], mut reload } = signals;
     loop {
         tokio::select! {
+            biased;
+            // A stop before a reload that came with it: a text that is read slowly holds up no stop.
             _ = term.recv() => {}
             _ = interrupt.recv() => {}
             _ = reload.recv() => {
--- a/relay/tests/stops.rs
+++ b/relay/tests/stops.rs
@@ -1,11 +1,13 @@
 //! Orders of two things that meet, forced on the program itself: it is stopped by SIGSTOP while bytes, ends and
-//! signals queue up, and goes on with all of them ready at once.
+//! signals queue up, and goes on with all of them ready at once. And its first milliseconds, held by a pipe in place
+//! of its configuration.
 mod common;
 
 use common::{bound, until, Client, Counted, Miss, Relay, Site};
 use serde_json::json;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::Command;
 use std::time::{Duration, Instant};
 
 /// What may end the program after SIGTERM comes no sooner than the longest dial timeout, 3 s at most, and this.
@@ -142,3 +144,43 @@
     stopped_with("reloaded", 900, &["HUP", "TERM", "TERM", "INT"]);
 }
 
+/// A pipe in place of the configuration holds the program in its first milliseconds, before it has caught signals.
+fn begun(name: &str, signal: &str) -> (Site, Relay) {
+    let mut site = Site::new(name);
+    let relay = site.start();
+    relay.until_ready();
+    drop(relay);
+    let pipe = site.folder.join("pipe");
+    assert!(Command::new("mkfifo").arg(&pipe).status().expect("a program").success());
+    let mut command = Command::new(env!("CARGO_BIN_EXE_hallrelay"));
+    command.arg("serve").arg("--config").arg(&pipe).env("TMPDIR", &site.folder);
+    command.stderr(std::process::Stdio::null());
+    let child = command.spawn().expect("the relay starts");
+    let operator = site.text["operator"].as_str().and_then(|at| at.parse().ok()).expect("an address");
+    let relay = Relay { child, path: pipe.clone(), operator };
+    // Opens only as the program reads there: its own start is behind it by then, and signals are not caught yet.
+    let mut write = std::fs::OpenOptions::new().write(true).open(&pipe).expect("a pipe");
+    relay.signal(signal);
+    // As it is read again it is a file.
+    let text = site.text.to_string();
+    let file = site.folder.join("text");
+    std::fs::write(&file, &text).expect("a file");
+    std::fs::rename(&file, &pipe).expect("in its place");
+    write.write_all(text.as_bytes()).expect("it is read");
+    (site, relay)
+}
+
+#[test]
+fn a_reload_in_the_first_milliseconds_ends_nothing() {
+    let (site, relay) = begun("early-reload", "HUP");
+    relay.until_ready();
+    until("the reload is seen", || relay.figure("config.reloads").unwrap_or(1) > 0);
+    assert!(Client::open(site.listen, "low").is_ok());
+}
+
+#[test]
+fn a_stop_in_the_first_milliseconds_is_an_ordered_one() {
+    let (_site, mut relay) = begun("early-stop", "TERM");
+    until("it ends", || relay.has_ended());
+    assert!(relay.child.wait().expect("a child").success());
+}
