No answer is thrown away between tasks, and no stale word ends a session

Cause, in net/admit.rs: after UP was told the task took one command and passed over all but Pass, so the answer of a session that was given up by then was dropped, and its client's connection ended without one. Change: each stage names what it is told; all select! are biased with the reason beside them; Buffer::read_now. Tests: net/orders, in which the test plays the reducer and lets tasks go on only as bytes, ends and resets lie there.

--- a/relay/src/buffer.rs
+++ b/relay/src/buffer.rs
@@ -1,5 +1,6 @@
 //! One buffer a connection: nothing till bytes come, then small, grown as lines need it, compacted in place.
-use std::io;
+use socket2::SockRef;
+use std::io::{self, Read};
 use tokio::net::TcpStream;
 
 pub struct Buffer {
@@ -78,10 +79,20 @@
         }
     }
 
-    /// Reads once what is there.
+    /// Reads once what is there, as far as the runtime knows of it.
     pub fn read(&mut self, stream: &TcpStream) -> io::Result<usize> {
+        self.read_with(|bytes| stream.try_read(bytes))
+    }
+
+    /// Reads once what lies there, also what the runtime has not been told of: it learns of bytes with its next look
+    /// at all sockets.
+    pub fn read_now(&mut self, stream: &TcpStream) -> io::Result<usize> {
+        self.read_with(|bytes| (&*SockRef::from(stream)).read(bytes))
+    }
+
+    fn read_with(&mut self, read: impl FnOnce(&mut [u8]) -> io::Result<usize>) -> io::Result<usize> {
         self.make_room();
-        let count = stream.try_read(&mut self.bytes[self.till..])?;
+        let count = read(&mut self.bytes[self.till..])?;
         self.till += count;
         self.fresh = self.whole.max(self.from);
         self.look();
--- a/relay/src/net/admit.rs
+++ b/relay/src/net/admit.rs
@@ -1,9 +1,11 @@
 //! A session that is taken and waits for what the reducer says: a dial, a final answer, or lines to pass.
+//! Whatever the order in which things come, it ends by a line that the reducer asked for, or that a backend
+//! gave: what is told to a connection that was no session yet is passed over here.
 use super::{dial, end, pass, Command, Hub};
 use crate::buffer::Buffer;
 use crate::lines;
 use crate::reducer::Event;
-use hallrelay::types::SessId;
+use hallrelay::types::{DialEnd, SessId};
 use std::ops::Range;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::Receiver;
@@ -14,6 +16,14 @@
     pub wait_at: Range<usize>,
 }
 
+/// What ends the wait for a dial, beside its own end.
+enum Next {
+    Ended(dial::Ended),
+    /// It has ended, or sends more, which is true.
+    Client(bool),
+    Told(Option<Command>),
+}
+
 pub async fn run(
     conn: SessId,
     client: TcpStream,
@@ -24,47 +34,83 @@
 ) {
     loop {
         let command = tokio::select! {
+            biased;
+            // Guards a client that has left: its end goes before a dial that was decided without it.
+            stirred = stirs(&client, &mut buffer) => {
+                return leave(stirred, conn, client, commands, hub).await;
+            }
             command = commands.recv() => command,
-            more = stirs(&client, &mut buffer) => return stirred(more, conn, client, commands, hub).await,
         };
         match command {
             Some(Command::Dial { dial, addr, wait }) => {
                 let line = lines::onward(&asked.line, &asked.wait_at, wait / 1000);
-                let ended = tokio::select! {
-                    ended = dial::run(addr, &line, wait, hub) => ended,
-                    // Leaving this drops the dial, which gives it up.
-                    more = stirs(&client, &mut buffer) => {
-                        return stirred(more, conn, client, commands, hub).await;
+                let order = dial::Order { addr, line: &line, wait };
+                match out(order, &client, &mut buffer, &mut commands, hub).await {
+                    Next::Client(stirred) => return leave(stirred, conn, client, commands, hub).await,
+                    Next::Told(Some(Command::Answer(line))) => {
+                        return end::answer(client, &line, &mut commands, hub).await;
                     }
-                    // While a dial is out only an end can be asked for: closing gives the dial up.
-                    command = commands.recv() => {
-                        if let Some(Command::Answer(line)) = command {
-                            end::answer(client, &line, &mut commands, hub).await;
-                        }
-                        return;
-                    }
-                };
-                match ended {
-                    dial::Ended::Up(backend) => {
+                    Next::Told(_) => return,
+                    Next::Ended(dial::Ended::Up(backend)) => {
                         hub.tell(Event::Up { sess: conn, dial }).await;
-                        // Where the session is over by now, it is told to close instead.
-                        if let Some(Command::Pass) = commands.recv().await {
-                            pass::run(conn, client, buffer, backend, commands, hub).await;
+                        // Guards the session that was given up as its backend's answer was read: what waits
+                        // then is its final answer, and the backend's goes nowhere.
+                        match word(&client, &mut commands, hub).await {
+                            Some(Command::Pass) => {
+                                pass::run(conn, client, buffer, backend, commands, hub).await;
+                            }
+                            Some(Command::Answer(line)) => {
+                                drop(backend);
+                                end::answer(client, &line, &mut commands, hub).await;
+                            }
+                            _ => {}
                         }
                         return;
                     }
-                    dial::Ended::Over(line) => {
-                        let (end, report) = (hallrelay::types::DialEnd::Ok, line.1);
+                    Next::Ended(dial::Ended::Over(line)) => {
+                        let (end, report) = (DialEnd::Ok, line.1);
                         hub.tell(Event::DialEnded { sess: conn, dial, end, report }).await;
                         return end::answer(client, &line.0, &mut commands, hub).await;
                     }
-                    dial::Ended::Not(end, report) => {
+                    Next::Ended(dial::Ended::Not(end, report)) => {
                         hub.tell(Event::DialEnded { sess: conn, dial, end, report }).await;
                     }
                 }
             }
             Some(Command::Answer(line)) => return end::answer(client, &line, &mut commands, hub).await,
-            _ => return,
+            Some(Command::Pong(line)) => _ = end::write(&client, line, hub.limits().end).await,
+            Some(Command::Shed | Command::Doubt(_)) => {}
+            Some(Command::Close | Command::Pass | Command::Move | Command::PassOn(..)) | None => return,
+        }
+    }
+}
+
+/// A dial that is out. Returning drops it, which gives it up.
+async fn out(
+    order: dial::Order<'_>,
+    client: &TcpStream,
+    buffer: &mut Buffer,
+    commands: &mut Receiver<Command>,
+    hub: &Hub,
+) -> Next {
+    tokio::select! {
+        biased;
+        // The client's end first, as above; then an order to give up, which holds whatever the backend says by
+        // now: the reducer has no session any more that could stand.
+        stirred = stirs(client, buffer) => Next::Client(stirred),
+        command = word(client, commands, hub) => Next::Told(command),
+        ended = dial::run(order, hub) => Next::Ended(ended),
+    }
+}
+
+/// The next command that ends a wait: while a dial is out only an end can be asked for. What was told to a
+/// connection before it was a session ends nothing.
+async fn word(client: &TcpStream, commands: &mut Receiver<Command>, hub: &Hub) -> Option<Command> {
+    loop {
+        match commands.recv().await {
+            Some(Command::Pong(line)) => _ = end::write(client, line, hub.limits().end).await,
+            Some(Command::Shed | Command::Doubt(_)) => {}
+            command => return command,
         }
     }
 }
@@ -74,7 +120,7 @@
     matches!(buffer.fill(client).await, Ok(1..))
 }
 
-async fn stirred(more: bool, conn: SessId, client: TcpStream, commands: Receiver<Command>, hub: &Hub) {
+async fn leave(more: bool, conn: SessId, client: TcpStream, commands: Receiver<Command>, hub: &Hub) {
     if more {
         spurned(conn, client, commands, hub).await;
     }
@@ -83,12 +129,16 @@
 /// Tells of a connection that is not of the protocol, and carries its last line out.
 pub async fn spurned(conn: SessId, client: TcpStream, mut commands: Receiver<Command>, hub: &Hub) {
     hub.tell(Event::Odd { conn }).await;
+    last(client, &mut commands, hub).await;
+}
+
+/// The final answer, which is on its way. What was on its way before is moot.
+async fn last(client: TcpStream, commands: &mut Receiver<Command>, hub: &Hub) {
     while let Some(command) = commands.recv().await {
         match command {
-            Command::Answer(line) => return end::answer(client, &line, &mut commands, hub).await,
-            // What was on its way before is moot.
-            Command::Dial { .. } | Command::Pong(_) | Command::Shed | Command::Doubt(_) => {}
-            Command::Pass | Command::Move | Command::PassOn(..) | Command::Close => return,
+            Command::Answer(line) => return end::answer(client, &line, commands, hub).await,
+            Command::Dial { .. } | Command::Pong(_) | Command::Shed | Command::Doubt(_) | Command::Pass => {}
+            Command::Move | Command::PassOn(..) | Command::Close => return,
         }
     }
 }
--- a/relay/src/net/dial.rs
+++ b/relay/src/net/dial.rs
@@ -16,6 +16,12 @@
     pub up: Vec<u8>,
 }
 
+pub struct Order<'a> {
+    pub addr: SocketAddr,
+    pub line: &'a [u8],
+    pub wait: Micros,
+}
+
 pub enum Ended {
     Up(Backend),
     /// Served to its end at once, with this line.
@@ -24,13 +30,13 @@
 }
 
 /// Whether the last byte of the line was written tells whether the dial may have run.
-pub async fn run(addr: SocketAddr, line: &[u8], wait: Micros, hub: &Hub) -> Ended {
+pub async fn run(order: Order<'_>, hub: &Hub) -> Ended {
+    let Order { addr, line, wait } = order;
     let limits = hub.limits();
     let over = Instant::now() + span(wait);
     let never = Ended::Not(DialEnd::Unconnected, None);
-    let Ok(Ok(stream)) = timeout(span(wait.min(limits.connect)), TcpStream::connect(addr)).await else {
-        return never;
-    };
+    let connected = timeout(span(wait.min(limits.connect)), TcpStream::connect(addr)).await;
+    let Ok(Ok(stream)) = connected else { return never };
     _ = stream.set_nodelay(true);
     if !end::write(&stream, line, wait).await {
         return never;
--- a/relay/src/net/first_line.rs
+++ b/relay/src/net/first_line.rs
@@ -32,6 +32,9 @@
     hub.tell(Event::Came { conn }).await;
     loop {
         let next = tokio::select! {
+            biased;
+            // A line that is there before a word that its place is wanted, and before its time is up: the relay may
+            // have stood still while it lay there.
             line = more(&client, &mut buffer, limits.line) => match line {
                 Ok(Some(line)) => Next::Line(line),
                 Ok(None) => Next::Part,
@@ -53,8 +56,8 @@
             Next::Ended => return,
             Next::Odd => return admit::spurned(conn, client, commands, hub).await,
             Next::Told(Some(Command::Shed)) => {
-                // Its line may lie there unread: then it is a session like others.
-                _ = buffer.read(&client);
+                // Its line may lie there unread, in more than one read: then it is a session like others.
+                while matches!(buffer.read_now(&client), Ok(1..)) {}
                 match buffer.take_line() {
                     Some(line) => line,
                     None => return end::at_once(client, &lines::busy(0)),
@@ -66,6 +69,8 @@
                 }
                 continue;
             }
+            // Doubts are of open sessions; the others are answers to what was not said here.
+            Next::Told(Some(Command::Doubt(_))) => continue,
             Next::Told(_) => return,
         };
         match lines::first(&line) {
@@ -79,7 +84,8 @@
                 let asked = admit::Asked { line, wait_at };
                 return admit::run(conn, client, buffer, asked, commands, hub).await;
             }
-            Some(First::Ping) => hub.tell(Event::Ping { conn }).await,
+            // Guards against one that asks without end: lines go before the time in which one must begin.
+            Some(First::Ping) if Instant::now() < over => hub.tell(Event::Ping { conn }).await,
             _ => {
                 slog::debug!(hub.log, "a first line is odd"; "conn" => conn, "bytes" => line.len());
                 return admit::spurned(conn, client, commands, hub).await;
--- a/relay/src/net/handover.rs
+++ b/relay/src/net/handover.rs
@@ -196,6 +196,8 @@
     let (mut line, mut passed) = (Vec::new(), VecDeque::new());
     loop {
         tokio::select! {
+            biased;
+            // What the other process says may change what is said to it.
             ready = stream.readable() => {
                 let got = ready.and_then(|()| {
                     stream.try_io(Interest::READABLE, || receive(stream.as_fd(), &mut line, &mut passed))
--- a/relay/src/net/mod.rs
+++ b/relay/src/net/mod.rs
@@ -9,6 +9,8 @@
 mod fleet;
 mod handover;
 mod operator;
+#[cfg(test)]
+mod orders;
 mod pass;
 mod peers;
 mod probe;
--- /dev/null
+++ b/relay/src/net/orders/waiting.rs
@@ -0,0 +1,119 @@
+//! A session that waits: its client, its dial and the reducer's word, in each order in which two of them can meet.
+use super::{bound, play, taken, untouched, Command, Lies, Peer, LINE};
+use crate::reducer::Event;
+use hallrelay::types::DialEnd;
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+/// How often orders are played that the runtime used to draw by chance.
+const PLAYS: usize = 30;
+const LONG: u64 = 10_000_000;
+
+/// The session is over for the reducer as its backend's `UP` is read: what waits is its answer.
+#[test]
+fn an_answer_that_crosses_up_is_said() {
+    play(|mut play| async move {
+        let (backend, mut client) = (bound().await, play.client_with(LINE).await);
+        let conn = play.opened().await;
+        play.dials(conn, 0, &backend, LONG);
+        let mut server = taken(&backend).await;
+        assert!(server.hears().await.starts_with("OPEN "));
+        server.says("UP r1\r\n").await;
+        assert!(matches!(play.event().await, Event::Up { dial: 0, .. }));
+        play.answers(conn, "FAIL\r\n");
+        assert_eq!(client.hears().await, "FAIL\r\n");
+        assert_eq!(server.hears().await, "");
+    });
+}
+
+/// The same where the order to give up and `UP` lie there at once: one answer goes out, and it is the reducer's.
+#[test]
+fn an_answer_beside_up_is_said_once() {
+    for _ in 0..PLAYS {
+        play(|mut play| async move {
+            let (backend, mut client) = (bound().await, play.client_with(LINE).await);
+            let conn = play.opened().await;
+            play.dials(conn, 0, &backend, LONG);
+            let mut server = taken(&backend).await;
+            server.hears().await;
+            server.says("UP r1\r\n").await;
+            play.answers(conn, "FAIL\r\n");
+            assert_eq!(client.hears().await, "FAIL\r\n");
+            assert_eq!(client.hears().await, "");
+        });
+    }
+}
+
+/// Its place was wanted before it was a session, or its `PING` is answered: neither is its final answer.
+#[test]
+fn words_from_before_it_was_a_session_end_nothing() {
+    play(|mut play| async move {
+        let mut client = play.client_with("PING\r\n").await;
+        let Event::Ping { conn } = play.event().await else { panic!("no PING") };
+        client.says(LINE).await;
+        assert_eq!(play.opened().await, conn);
+        play.says(conn, Command::Shed);
+        play.says(conn, Command::Pong(b"PONG\r\n"));
+        play.answers(conn, "BUSY\r\n");
+        assert_eq!(client.hears().await, "PONG\r\n");
+        assert_eq!(client.hears().await, "BUSY\r\n");
+    });
+}
+
+#[test]
+fn words_from_before_it_was_a_session_end_no_dial() {
+    play(|mut play| async move {
+        let (backend, mut client) = (bound().await, play.client_with(LINE).await);
+        let conn = play.opened().await;
+        play.dials(conn, 0, &backend, LONG);
+        let mut server = taken(&backend).await;
+        server.hears().await;
+        for late in [Command::Shed, Command::Pong(b"PONG\r\n")] {
+            play.says(conn, late);
+        }
+        assert_eq!(client.hears().await, "PONG\r\n");
+        server.says("UP r1\r\n").await;
+        assert!(matches!(play.event().await, Event::Up { .. }));
+        play.says(conn, Command::Shed);
+        play.says(conn, Command::Pass);
+        assert_eq!(client.hears().await, "UP r1\r\n");
+    });
+}
+
+/// A line lies there as the time for it ends and as its place is wanted: it is a session.
+#[test]
+fn a_line_that_lies_there_goes_before_all_that_would_end_it() {
+    for _ in 0..PLAYS {
+        play(|mut play| async move {
+            let mut client = play.client().await;
+            let Some(Event::Came { conn }) = play.events.recv().await else { panic!("nobody came") };
+            play.turns().await;
+            client.says(LINE).await;
+            client.lies(Lies::Bytes);
+            play.says(conn, Command::Shed);
+            assert_eq!(play.opened().await, conn);
+            play.answers(conn, "BUSY\r\n");
+            assert_eq!(client.hears().await, "BUSY\r\n");
+        });
+    }
+}
+
+/// The same for a long one, of which a first read takes a part.
+#[test]
+fn a_long_line_that_lies_there_is_a_session() {
+    for _ in 0..PLAYS {
+        play(|mut play| async move {
+            let long = format!(
+                "OPEN 0000000000000001 0000000000000002 c=nomination,d=2000,h={}\r\n",
+                "1".repeat(3000)
+            );
+            let mut client = play.client().await;
+            let Some(Event::Came { conn }) = play.events.recv().await else { panic!("nobody came") };
+            play.turns().await;
+            client.says(&long).await;
+            client.lies(Lies::Bytes);
+            play.says(conn, Command::Shed);
+            assert_eq!(play.opened().await, conn);
+        });
+    }
+}
--- a/relay/src/net/pass.rs
+++ b/relay/src/net/pass.rs
@@ -130,6 +130,7 @@
     let now = hub.clock.now();
     ear.unanswered = session.unanswered.iter().map(|ago| now.saturating_sub(*ago)).collect();
     hub.tell(Event::Inherited { sess: conn, session }).await;
+    // Nothing else can have been told to it: it had no place before.
     if let Some(Command::Pass) = commands.recv().await {
         go_on(client, up, backend, down, commands, ear).await;
     }
@@ -214,6 +215,10 @@
         let wake = stuck_at.or(silent_at);
         let wake_at = clock.at(wake.unwrap_or_default());
         tokio::select! {
+            biased;
+            // Commands are few, and a busy session would hold them up; then what has come, the backend's first,
+            // since its end is known by it; then what is to go; at last the time, by which all that lay there
+            // unread was read.
             command = commands.recv() => match command {
                 Some(Command::Move) => return Over::Moved,
                 Some(Command::PassOn(peer, session)) => return Over::Passed(peer, session),
@@ -221,14 +226,10 @@
                     // Where the backend answers no probes, a message gets no more time than a probe.
                     ear.patience = if doubted { limits.probe } else { limits.silence };
                 }
+                // Told to the connection before it was a session.
+                Some(Command::Pong(_) | Command::Shed) => {}
                 _ => return Over::Closed,
             },
-            count = up.fill(client), if up.has_room() => match count {
-                Ok(0) => return Over::ClientEnded,
-                Ok(_) if ear.client_lines(up.fresh()) && up.partial() <= most => {}
-                // A line too long ends the session as a break does.
-                _ => return Over::ClientBroke,
-            },
             count = down.fill(backend), if down.has_room() => match count {
                 Ok(0) | Err(_) => return gone(ear),
                 Ok(_) if ear.backend_lines(down.fresh()).await && down.partial() <= most => {}
@@ -237,6 +238,12 @@
                     return Over::Backend(DialEnd::Reset, None);
                 }
             },
+            count = up.fill(client), if up.has_room() => match count {
+                Ok(0) => return Over::ClientEnded,
+                Ok(_) if ear.client_lines(up.fresh()) && up.partial() <= most => {}
+                // A line too long ends the session as a break does.
+                _ => return Over::ClientBroke,
+            },
             ready = backend.writable(), if to_backend => {
                 if ready.is_err() || goes(up, backend).is_err() {
                     return gone(ear);
--- a/relay/src/reducer/sessions.rs
+++ b/relay/src/reducer/sessions.rs
@@ -64,6 +64,8 @@
         let fit = timely && !marked;
         let Some(listener) = listener.filter(|_| fit) else { return self.odd(sess, out) };
         self.aside.retain(|one| one.0 != sess);
+        // Who asked before and goes on without an answer is a client now.
+        self.pings.retain(|ping| *ping != sess);
         let most = self.node.site.dial_timeouts[listener];
         let asked = Asked {
             listener,
--- a/relay/src/status.rs
+++ b/relay/src/status.rs
@@ -35,6 +35,8 @@
             Ok::<_, String>((status, body.to_bytes()))
         };
         tokio::select! {
+            biased;
+            // An answer that came whole counts, however the connection ends.
             answer = answered => answer,
             Err(e) = connection => Err(e.to_string()),
         }
