The final answer finds a place behind any number of PINGs

A client that sends many PINGs and then what is no line had its ERR dropped, and its task waited for it for ever: it held its place, a shed could not end it, and some hundred such clients close a relay. Change: no more is read than half the places can answer. Seen to fail without it: an_answer_finds_a_place_behind_any_number_of_pings, waited in vain: a line.

--- a/relay/src/net/first_line.rs
+++ b/relay/src/net/first_line.rs
@@ -30,12 +30,15 @@
     let mut over = came + span(limits.first_line);
     let mut buffer = Buffer::new(limits.buffer_first, limits.buffer_most);
     hub.tell(Event::Came { conn }).await;
+    // Guards the final answer against one that asks without end: what waits for this task has few places, and an
+    // answer that finds none is lost. No more is read than half of them can hold.
+    let mut pings = 0;
     loop {
         let next = tokio::select! {
             biased;
             // A line that is there before a word that its place is wanted, and before its time is up: the relay may
             // have stood still while it lay there.
-            line = more(&client, &mut buffer, limits.line) => match line {
+            line = more(&client, &mut buffer, limits.line), if pings < limits.commands / 2 => match line {
                 Ok(Some(line)) => Next::Line(line),
                 Ok(None) => Next::Part,
                 Err(Unfit::Ended) => Next::Ended,
@@ -64,6 +67,7 @@
                 }
             }
             Next::Told(Some(Command::Pong(line))) => {
+                pings = pings.saturating_sub(1);
                 if !end::write(&client, line, limits.end).await {
                     return;
                 }
@@ -85,7 +89,10 @@
                 return admit::run(conn, client, buffer, asked, commands, hub).await;
             }
             // Guards against one that asks without end: lines go before the time in which one must begin.
-            Some(First::Ping) if Instant::now() < over => hub.tell(Event::Ping { conn }).await,
+            Some(First::Ping) if Instant::now() < over => {
+                pings += 1;
+                hub.tell(Event::Ping { conn }).await;
+            }
             _ => {
                 slog::debug!(hub.log, "a first line is odd"; "conn" => conn, "bytes" => line.len());
                 return admit::spurned(conn, client, commands, hub).await;
--- a/relay/src/net/orders/waiting.rs
+++ b/relay/src/net/orders/waiting.rs
@@ -80,6 +80,38 @@
     });
 }
 
+/// One that asks more often than its task has places for answers, and then sends what is no line of the protocol:
+/// each `PING` is answered, and so is the rest, or it would hold its place for ever.
+#[test]
+fn an_answer_finds_a_place_behind_any_number_of_pings() {
+    const PINGS: usize = 100;
+    play(|mut play| async move {
+        let mut client = play.client_with(&("PING\r\n".repeat(PINGS) + "what\r\n")).await;
+        let mut waiting = 0;
+        let conn = loop {
+            match play.event().await {
+                // As a reducer that has much else to do: it answers some at a time.
+                Event::Ping { conn } => {
+                    waiting += 1;
+                    if waiting == play.hub.limits().commands / 2 {
+                        (0..std::mem::take(&mut waiting))
+                            .for_each(|_| play.says(conn, Command::Pong(b"PONG\r\n")));
+                    }
+                }
+                Event::Odd { conn } => break conn,
+                other => panic!("{other:?}"),
+            }
+        };
+        (0..waiting).for_each(|_| play.says(conn, Command::Pong(b"PONG\r\n")));
+        play.answers(conn, "ERR\r\n");
+        let mut heard = Vec::new();
+        while heard.last().is_none_or(|line: &String| line == "PONG\r\n") {
+            heard.push(client.hears().await);
+        }
+        assert_eq!(heard.last().map(String::as_str), Some("ERR\r\n"));
+    });
+}
+
 /// A line lies there as the time for it ends and as its place is wanted: it is a session.
 #[test]
 fn a_line_that_lies_there_goes_before_all_that_would_end_it() {
