Who left while it waited is not sent on, and hears what it is owed

Cause: the task learns of an end with the runtime's next look at all sockets; a dial that was decided before was begun first, and a connect that came up in the same look was written to, by the chance of select!. Change: the client's end goes first; its socket is read itself before a connect and before the first byte (read::now). An end alone does not tell who has left from who merely ended its sending, so the answer that is owed is written (Event::Departed): BUSY where nothing was sent, else FAIL.

--- a/relay/src/net/admit.rs
+++ b/relay/src/net/admit.rs
@@ -1,6 +1,7 @@
 //! A session that is taken and waits for what the reducer says: a dial, a final answer, or lines to pass.
 //! Whatever the order in which things come, it ends by a line that the reducer asked for, or that a backend
 //! gave: what is told to a connection that was no session yet is passed over here.
+use super::read::State;
 use super::{dial, end, pass, Command, Hub};
 use crate::buffer::Buffer;
 use crate::lines;
@@ -19,8 +20,7 @@
 /// What ends the wait for a dial, beside its own end.
 enum Next {
     Ended(dial::Ended),
-    /// It has ended, or sends more, which is true.
-    Client(bool),
+    Client(State),
     Told(Option<Command>),
 }
 
@@ -47,6 +47,9 @@
                 let order = dial::Order { addr, line: &line, wait };
                 match out(order, &client, &mut buffer, &mut commands, hub).await {
                     Next::Client(stirred) => return leave(stirred, conn, client, commands, hub).await,
+                    Next::Ended(dial::Ended::Client(stirred)) => {
+                        return leave(stirred, conn, client, commands, hub).await;
+                    }
                     Next::Told(Some(Command::Answer(line))) => {
                         return end::answer(client, &line, &mut commands, hub).await;
                     }
@@ -99,7 +102,7 @@
         // now: the reducer has no session any more that could stand.
         stirred = stirs(client, buffer) => Next::Client(stirred),
         command = word(client, commands, hub) => Next::Told(command),
-        ended = dial::run(order, hub) => Next::Ended(ended),
+        ended = dial::run(order, client, hub) => Next::Ended(ended),
     }
 }
 
@@ -115,15 +118,22 @@
     }
 }
 
-/// Ends when the client does, or sends more, which is true: it is to wait for its answer.
-async fn stirs(client: &TcpStream, buffer: &mut Buffer) -> bool {
-    matches!(buffer.fill(client).await, Ok(1..))
+/// Ends when the client does, or sends more: it is to wait for its answer.
+async fn stirs(client: &TcpStream, buffer: &mut Buffer) -> State {
+    match buffer.fill(client).await {
+        Ok(1..) => State::More,
+        _ => State::Ended,
+    }
 }
 
-async fn leave(more: bool, conn: SessId, client: TcpStream, commands: Receiver<Command>, hub: &Hub) {
-    if more {
-        spurned(conn, client, commands, hub).await;
+async fn leave(stirred: State, conn: SessId, client: TcpStream, mut commands: Receiver<Command>, hub: &Hub) {
+    if stirred == State::More {
+        return spurned(conn, client, commands, hub).await;
     }
+    // Whether it has gone, or merely ended its sending and reads on, its end alone does not tell: the answer
+    // that it is owed is written, and nothing is sent on.
+    hub.tell(Event::Departed { sess: conn }).await;
+    last(client, &mut commands, hub).await;
 }
 
 /// Tells of a connection that is not of the protocol, and carries its last line out.
--- a/relay/src/net/dial.rs
+++ b/relay/src/net/dial.rs
@@ -1,5 +1,6 @@
 //! One dial: connect, send the first line, wait for the backend's first word. Dropping it gives it up.
-use super::{end, read, Hub};
+use super::read::{self, State};
+use super::{end, Hub};
 use crate::buffer::Buffer;
 use crate::clock::span;
 use crate::lines::{self, Said};
@@ -27,17 +28,27 @@
     /// Served to its end at once, with this line.
     Over((Vec<u8>, Option<Report>)),
     Not(DialEnd, Option<Report>),
+    /// Not begun: its client does not wait any more.
+    Client(State),
 }
 
 /// Whether the last byte of the line was written tells whether the dial may have run.
-pub async fn run(order: Order<'_>, hub: &Hub) -> Ended {
+pub async fn run(order: Order<'_>, client: &TcpStream, hub: &Hub) -> Ended {
     let Order { addr, line, wait } = order;
     let limits = hub.limits();
     let over = Instant::now() + span(wait);
     let never = Ended::Not(DialEnd::Unconnected, None);
+    // Guards a client that has left, as the system knows by now and its task does not: here, and as a connection
+    // comes up late.
+    if let stirred @ (State::More | State::Ended) = read::now(client) {
+        return Ended::Client(stirred);
+    }
     let connected = timeout(span(wait.min(limits.connect)), TcpStream::connect(addr)).await;
     let Ok(Ok(stream)) = connected else { return never };
     _ = stream.set_nodelay(true);
+    if let stirred @ (State::More | State::Ended) = read::now(client) {
+        return Ended::Client(stirred);
+    }
     if !end::write(&stream, line, wait).await {
         return never;
     }
--- a/relay/src/net/orders/waiting.rs
+++ b/relay/src/net/orders/waiting.rs
@@ -112,6 +112,138 @@
     });
 }
 
+/// How a client leaves.
+fn leaves(client: Peer, how: Lies) -> Option<Peer> {
+    match how {
+        Lies::End => {
+            client.shuts();
+            client.lies(how);
+            Some(client)
+        }
+        _ => {
+            let eye = client.eye.as_ref().expect("known").try_clone().expect("a handle");
+            client.resets();
+            // A reset is seen as the end of a connection that is no more.
+            let started = std::time::Instant::now();
+            while eye.peer_addr().is_ok() {
+                assert!(started.elapsed() < super::SOON, "no reset came");
+                std::thread::sleep(Duration::from_millis(1));
+            }
+            None
+        }
+    }
+}
+
+/// Its client has left, and the runtime has not looked by then, as a dial comes that was decided before: nothing is
+/// sent on. Who only ended its sending still hears the answer.
+#[test]
+fn who_left_before_a_dial_is_not_sent_on() {
+    for how in [Lies::End, Lies::Reset] {
+        for _ in 0..PLAYS {
+            play(|mut play| async move {
+                let (backend, client) = (bound().await, play.client_with(LINE).await);
+                let conn = play.opened().await;
+                play.turns().await;
+                let client = leaves(client, how);
+                play.dials(conn, 0, &backend, LONG);
+                assert_eq!(play.event().await, Event::Departed { sess: conn });
+                play.answers(conn, "BUSY\r\n");
+                if let Some(mut client) = client {
+                    assert_eq!(client.hears().await, "BUSY\r\n");
+                }
+                untouched(&backend).await;
+            });
+        }
+    }
+}
+
+/// Line and end lie there together, as in an accept queue after a standstill.
+#[test]
+fn who_left_in_the_accept_queue_is_not_sent_on() {
+    for how in [Lies::End, Lies::Reset] {
+        play(|mut play| async move {
+            let backend = bound().await;
+            let (stream, client) = play.queued(LINE).await;
+            let mut queued = match how {
+                Lies::End => {
+                    client.shuts();
+                    (stream, client)
+                }
+                _ => {
+                    leaves(client, how);
+                    (
+                        stream,
+                        Peer::new(
+                            TcpStream::connect(backend.local_addr().expect("known")).await.expect("up"),
+                            None,
+                        ),
+                    )
+                }
+            };
+            play.taken(&mut queued);
+            match play.event().await {
+                Event::Opened { sess, .. } => {
+                    play.dials(sess, 0, &backend, LONG);
+                    assert_eq!(play.event().await, Event::Departed { sess });
+                    play.answers(sess, "BUSY\r\n");
+                }
+                // A reset may take the line with it.
+                Event::Gone { .. } if how == Lies::Reset => {}
+                other => panic!("{other:?}"),
+            }
+            untouched(&backend).await;
+        });
+    }
+}
+
+/// A connect that stays out, as the backend's own queue is full, and comes up after its client has left.
+#[test]
+fn who_left_during_a_connect_is_not_sent_on() {
+    play(|mut play| async move {
+        let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+        socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+        let backend = socket.listen(1).expect("it listens");
+        let place = backend.local_addr().expect("its address");
+        let mut filling = Vec::new();
+        while let Ok(Ok(one)) =
+            tokio::time::timeout(Duration::from_millis(100), TcpStream::connect(place)).await
+        {
+            filling.push(one);
+        }
+        let client = play.client_with(LINE).await;
+        let conn = play.opened().await;
+        play.dials(conn, 0, &backend, LONG);
+        play.quiet().await;
+        let mut client = leaves(client, Lies::End).expect("it reads on");
+        assert_eq!(play.event().await, Event::Departed { sess: conn });
+        play.answers(conn, "FAIL\r\n");
+        assert_eq!(client.hears().await, "FAIL\r\n");
+        untouched(&backend).await;
+    });
+}
+
+/// A connect came up, and its client's end lies there as the runtime looks at both.
+#[test]
+fn who_left_as_a_connect_came_up_is_not_sent_on() {
+    for _ in 0..PLAYS {
+        play(|mut play| async move {
+            let (backend, client) = (bound().await, play.client_with(LINE).await);
+            let conn = play.opened().await;
+            play.dials(conn, 0, &backend, LONG);
+            // The task begins to connect, and the end comes before its next turn.
+            tokio::task::yield_now().await;
+            let mut client = leaves(client, Lies::End).expect("it reads on");
+            match play.event().await {
+                Event::Departed { sess } => assert_eq!(sess, conn),
+                other => panic!("{other:?}"),
+            }
+            play.answers(conn, "FAIL\r\n");
+            assert_eq!(client.hears().await, "FAIL\r\n");
+            untouched(&backend).await;
+        });
+    }
+}
+
 /// A line lies there as the time for it ends and as its place is wanted: it is a session.
 #[test]
 fn a_line_that_lies_there_goes_before_all_that_would_end_it() {
--- a/relay/src/net/read.rs
+++ b/relay/src/net/read.rs
@@ -1,7 +1,9 @@
-//! Reading a connection: its next line, and how long ago the system saw its last bytes.
+//! Reading a connection: its next line, what lies on it by now, and how long ago the system saw its last bytes.
 use super::end;
 use crate::buffer::Buffer;
 use crate::lines;
+use socket2::SockRef;
+use std::io::{ErrorKind, Read};
 use tokio::net::TcpStream;
 
 /// Why there is no next line.
@@ -10,6 +12,27 @@
     Long,
 }
 
+/// What a client that waits for its answer does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    Waits,
+    /// It sends more.
+    More,
+    /// It has ended its sending, or broken.
+    Ended,
+}
+
+/// What a client does that is to wait, as the system knows it by now. The runtime learns of an end with its next
+/// look at all sockets, which may be after a dial that it was to prevent. A byte that came is lost: whoever sends
+/// one is not served.
+pub fn now(stream: &TcpStream) -> State {
+    match (&*SockRef::from(stream)).read(&mut [0]) {
+        Ok(1..) => State::More,
+        Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => State::Waits,
+        Ok(0) | Err(_) => State::Ended,
+    }
+}
+
 /// The next whole line, without its end.
 pub async fn line(stream: &TcpStream, buffer: &mut Buffer, most: usize) -> Result<Vec<u8>, Unfit> {
     loop {
--- a/relay/src/reducer/events.rs
+++ b/relay/src/reducer/events.rs
@@ -80,6 +80,10 @@
     Gone {
         sess: SessId,
     },
+    /// The client has ended its sending while it waited for its answer: it has left, or reads on.
+    Departed {
+        sess: SessId,
+    },
     /// A dial's line is written whole.
     Written,
     Up {
--- a/relay/src/reducer/mod.rs
+++ b/relay/src/reducer/mod.rs
@@ -237,6 +237,7 @@
                 self.aside.retain(|one| one.0 != sess);
                 self.pings.retain(|conn| *conn != sess);
             }
+            Event::Departed { sess } => self.departed(sess, out),
             Event::Written => self.figures.tries += 1,
             Event::Up { sess, dial } if self.current(sess, dial) => self.up(sess, dial, out),
             Event::DialEnded { sess, dial, end, report } if self.current(sess, dial) => {
--- a/relay/src/reducer/sessions.rs
+++ b/relay/src/reducer/sessions.rs
@@ -47,6 +47,17 @@
         }
     }
 
+    /// Its client has ended its sending before it was answered. It may have left, so nothing is sent on for it; it
+    /// may read on, so the answer that it is owed goes out: a refusal where nothing was sent, else a failure.
+    pub(super) fn departed(&mut self, sess: SessId, out: &mut Vec<Effect>) {
+        let Some(s) = self.sessions.get(&sess) else { return };
+        out.push(match s.dials {
+            0 => Effect::Refuse { sess, retry_after: 0 },
+            _ => Effect::TearDown { sess },
+        });
+        self.left(sess, out);
+    }
+
     /// A session is over; its connection goes on for as long as its last line takes.
     pub(super) fn over(&mut self, sess: SessId) -> Option<Sess> {
         let s = self.sessions.remove(&sess)?;
--- a/relay/tests/stops.rs
+++ b/relay/tests/stops.rs
@@ -71,6 +71,33 @@
     assert!(rest.is_empty());
 }
 
+/// Lines and ends lie in the accept queue together, beside one that waits: only who waits is sent on.
+#[test]
+fn who_left_during_a_standstill_is_not_sent_on() {
+    let backend = Counted::begin();
+    let mut site = Site::new("left");
+    site.text["known"]["instances"] =
+        json!([{"instanceId": "s-0", "hostPort": backend.place.to_string(), "lifecycle": "up"}]);
+    let relay = site.start();
+    relay.until_ready();
+    halt(&relay);
+    let left: Vec<Client> = (0..20)
+        .map(|i| {
+            let mut client = Client::connect(site.listen).expect("it listens");
+            client.say(&open_line(100 + i, if i % 2 == 0 { "low" } else { "once" }, 1900));
+            client.shut();
+            client
+        })
+        .collect();
+    relay.signal("CONT");
+    // Who merely ended its sending hears what it is owed.
+    for mut client in left {
+        assert!(matches!(client.hear().as_deref(), Ok("BUSY" | "FAIL")));
+    }
+    assert!(Client::open(site.listen, "low").is_ok());
+    assert_eq!(backend.opened(), 1);
+}
+
 /// How a relay is told to end, and what lies there with it.
 fn stopped_with(name: &str, dial_timeout: u64, with: &[&str]) {
     let backend = Counted::begin();
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -5,7 +5,7 @@
 //! Inputs, each with `stalled` behind it where no alarm could go off before it:
 //!   `came FIRST..LAST`, `part FIRST..LAST`, `ping CONN`, `odd CONN`,
 //!   `ask SESS LISTENER [wait=MS] [at=NAME] [mark=ID]`,
-//!   `gone SESS`, `up SESS DIAL`, `fell SESS DIAL HOW`, `ended SESS HOW`, `took SESS MS`, `load SESS X`,
+//!   `gone SESS`, `departed SESS`, `up SESS DIAL`, `fell SESS DIAL HOW`, `ended SESS HOW`, `took SESS MS`, `load SESS X`,
 //!   `written`, `unfit`, `peer NUMBER hello|ready|yours|left`, `passed SESS`,
 //!   `stays SESS`, `inherits SESS LISTENER SERVER`, `call NUMBER ready|figures|drain|activate`,
 //!   `list full|changes VERSION NAME[:draining|:gone] ..`,
@@ -195,6 +195,7 @@
             "part" => return Ok(range(at(1)?)?.map(|conn| Event::Stirred { conn }).collect()),
             "ping" => Event::Ping { conn: sess()? },
             "gone" => Event::Gone { sess: sess()? },
+            "departed" => Event::Departed { sess: sess()? },
             "ask" => {
                 let wait = option(words, "wait").unwrap_or("2000");
                 let at_backend = option(words, "at").map(str::to_string);
