A dial that was decided long ago is not begun

Cause: a connect was bounded from its own start, not from the decision. Change: Command::Dial says by when it may be begun; later it is moot: not sent, no fault, decided anew. Seen to fail without it: waiting.rs:257: left DialEnded { end: Timeout }, right DialEnded { end: Moot }.

--- a/relay/src/net/admit.rs
+++ b/relay/src/net/admit.rs
@@ -42,9 +42,9 @@
             command = commands.recv() => command,
         };
         match command {
-            Some(Command::Dial { dial, addr, wait }) => {
+            Some(Command::Dial { dial, addr, wait, by }) => {
                 let line = lines::onward(&asked.line, &asked.wait_at, wait / 1000);
-                let order = dial::Order { addr, line: &line, wait };
+                let order = dial::Order { addr, line: &line, wait, by };
                 match out(order, &client, &mut buffer, &mut commands, hub).await {
                     Next::Client(stirred) => return leave(stirred, conn, client, commands, hub).await,
                     Next::Ended(dial::Ended::Client(stirred)) => {
--- a/relay/src/net/dial.rs
+++ b/relay/src/net/dial.rs
@@ -8,7 +8,7 @@
 use hallrelay::types::{DialEnd, Micros, Report};
 use std::net::SocketAddr;
 use tokio::net::TcpStream;
-use tokio::time::{timeout, timeout_at, Instant};
+use tokio::time::{timeout_at, Instant};
 
 pub struct Backend {
     pub stream: TcpStream,
@@ -21,6 +21,8 @@
     pub addr: SocketAddr,
     pub line: &'a [u8],
     pub wait: Micros,
+    /// Not begun later than this.
+    pub by: Micros,
 }
 
 pub enum Ended {
@@ -34,7 +36,7 @@
 
 /// Whether the last byte of the line was written tells whether the dial may have run.
 pub async fn run(order: Order<'_>, client: &TcpStream, hub: &Hub) -> Ended {
-    let Order { addr, line, wait } = order;
+    let Order { addr, line, wait, by } = order;
     let limits = hub.limits();
     let over = Instant::now() + span(wait);
     let never = Ended::Not(DialEnd::Unconnected, None);
@@ -43,12 +45,21 @@
     if let stirred @ (State::More | State::Ended) = read::now(client) {
         return Ended::Client(stirred);
     }
-    let connected = timeout(span(wait.min(limits.connect)), TcpStream::connect(addr)).await;
+    // Guards a drain's grace, and a server's name, against a standstill of this relay: what it decided long ago is not
+    // begun, and is no fault of the server's.
+    let moot = || hub.clock.now() > by;
+    if moot() {
+        return Ended::Not(DialEnd::Moot, None);
+    }
+    let connected = timeout_at(over.min(hub.clock.at(by)), TcpStream::connect(addr)).await;
     let Ok(Ok(stream)) = connected else { return never };
     _ = stream.set_nodelay(true);
     if let stirred @ (State::More | State::Ended) = read::now(client) {
         return Ended::Client(stirred);
     }
+    if moot() {
+        return Ended::Not(DialEnd::Moot, None);
+    }
     if !end::write(&stream, line, wait).await {
         return never;
     }
--- a/relay/src/net/mod.rs
+++ b/relay/src/net/mod.rs
@@ -41,6 +41,8 @@
         dial: u32,
         addr: SocketAddr,
         wait: Micros,
+        /// Not begun later than this: it was decided by what held then.
+        by: Micros,
     },
     Pass,
     Answer(Vec<u8>),
--- a/relay/src/net/orders/mod.rs
+++ b/relay/src/net/orders/mod.rs
@@ -217,8 +217,7 @@
 
     fn dials(&self, conn: SessId, dial: u32, at: &TcpListener, within: Micros) {
         let addr = at.local_addr().expect("its address");
-        _ = within;
-        self.says(conn, Command::Dial { dial, addr, wait: 1_500_000 });
+        self.says(conn, Command::Dial { dial, addr, wait: 1_500_000, by: self.hub.clock.now() + within });
     }
 }
 
--- a/relay/src/net/orders/waiting.rs
+++ b/relay/src/net/orders/waiting.rs
@@ -244,6 +244,25 @@
     }
 }
 
+/// A standstill between the decision and the dial, and between the connect and the first byte: what was decided then
+/// is not begun, and is no fault of the backend's.
+#[test]
+fn a_dial_of_long_ago_is_not_begun() {
+    play(|mut play| async move {
+        let (backend, _client) = (bound().await, play.client_with(LINE).await);
+        let conn = play.opened().await;
+        play.dials(conn, 0, &backend, 0);
+        std::thread::sleep(Duration::from_millis(2));
+        let moot = |dial| Event::DialEnded { sess: conn, dial, end: DialEnd::Moot, report: None };
+        assert_eq!(play.event().await, moot(0));
+        play.dials(conn, 1, &backend, 20_000);
+        tokio::task::yield_now().await;
+        std::thread::sleep(Duration::from_millis(30));
+        assert_eq!(play.event().await, moot(1));
+        untouched(&backend).await;
+    });
+}
+
 /// A line lies there as the time for it ends and as its place is wanted: it is a session.
 #[test]
 fn a_line_that_lies_there_goes_before_all_that_would_end_it() {
--- a/relay/src/net/serve.rs
+++ b/relay/src/net/serve.rs
@@ -244,7 +244,8 @@
                     _ = self.calls.remove(&call).map(|answer| answer.send(reply));
                 }
                 Effect::Dial { sess, dial, addr, wait } => {
-                    let command = Command::Dial { dial, addr, wait };
+                    let by = self.hub.clock.now() + self.hub.limits().connect;
+                    let command = Command::Dial { dial, addr, wait, by };
                     let ticket = self.tickets.remove(&sess);
                     let unwritten = |t: &u64| self.keeper.as_ref().is_some_and(|keeper| !keeper.settled(*t));
                     match ticket.filter(unwritten) {
