BUSY with what can't be read behind it may have run

Cause: lines::said took any line that begins with the word BUSY for a refusal, whatever stood behind it. A spoilt answer of that kind let a once-only session be dialled again. Seen to fail without it: waiting.rs:292: "BUSY ?": left Full, right Error.

--- a/relay/src/lines.rs
+++ b/relay/src/lines.rs
@@ -128,13 +128,19 @@
         "BYE" => Said::Bye(report()),
         "MOVE" => Said::Move,
         "ERR" => Said::Error(report()),
-        "BUSY" => Said::Busy(report()),
+        // What may not be read as a refusal is none: that a dial never ran is to be said, not guessed.
+        "BUSY" if tail.is_none() || tail.is_some_and(refusal) => Said::Busy(report()),
         "PONG" => Said::Pong(report()),
         "LOAD" => tail.and_then(figure).map_or(Said::Other, Said::Load),
         _ => Said::Other,
     }
 }
 
+/// What may stand behind a backend's refusal: a time to come back after, or figures.
+fn refusal(tail: &str) -> bool {
+    figure(tail).is_some() || pairs.parse(tail).is_ok()
+}
+
 fn split<'a>(input: &mut &'a str) -> ModalResult<(&'a str, Option<&'a str>)> {
     (alpha1, opt(preceded(' ', rest))).parse_next(input)
 }
--- a/relay/src/net/orders/waiting.rs
+++ b/relay/src/net/orders/waiting.rs
@@ -263,6 +263,44 @@
     });
 }
 
+/// What a backend said decides whether it has run: all of these dials were written whole.
+#[test]
+fn spoilt_answers_may_have_run() {
+    let said: [(&str, DialEnd); 11] = [
+        ("BUSY\r\n", DialEnd::Full),
+        ("BUSY 20\r\n", DialEnd::Full),
+        ("BUSY inflight=3,x0=0.5\r\nUP r1\r\n", DialEnd::Full),
+        ("BUSY ?\r\n", DialEnd::Error),
+        ("BUSYUP r1\r\n", DialEnd::Error),
+        ("BUS", DialEnd::Reset),
+        ("UP r", DialEnd::Reset),
+        ("", DialEnd::Reset),
+        ("\r\n", DialEnd::Error),
+        ("ERR\r\nBUSY\r\n", DialEnd::Error),
+        ("MOVE\r\n", DialEnd::Recalled),
+    ];
+    play(|mut play| async move {
+        let (backend, _client) = (bound().await, play.client_with(LINE).await);
+        let conn = play.opened().await;
+        for (dial, (text, wanted)) in said.into_iter().enumerate() {
+            play.dials(conn, dial as u32, &backend, LONG);
+            let mut server = taken(&backend).await;
+            server.hears().await;
+            server.says(text).await;
+            server.shuts();
+            match play.event().await {
+                Event::DialEnded { end, .. } => assert_eq!(end, wanted, "{text:?}"),
+                other => panic!("{other:?} after {text:?}"),
+            }
+        }
+        // One that never ends is cut off at a line's length.
+        play.dials(conn, 20, &backend, LONG);
+        let mut server = taken(&backend).await;
+        server.says(&"x".repeat(5000)).await;
+        assert!(matches!(play.event().await, Event::DialEnded { end: DialEnd::Reset, .. }));
+    });
+}
+
 /// A line lies there as the time for it ends and as its place is wanted: it is a session.
 #[test]
 fn a_line_that_lies_there_goes_before_all_that_would_end_it() {
