A silent watch is followed by the next one after 2.5 s, and lists may come indented

Cause, in net/discovery.rs: each physical line was parsed as a list, so an indented one ended the watch, for ever. Silence counted from the last bytes, so a trickle without a whole value kept a watch alive. A silent one was given up after 5 s and asked for again 1 to 2 s later: past the 6 s after which what it misses counts as told. Not taken: giving up the doubted one first (its late word would be lost with a call that waits), more than one call. Seen to fail without it: lists.rs:44: Some(ListBroken { watch: 1 }) in place of a list; "waited in vain: a call" (four).

--- a/config/src/limits.rs
+++ b/config/src/limits.rs
@@ -45,7 +45,8 @@
     /// The time to write a last line and for the other side to close.
     pub end: Micros,
     pub discovery_first: Micros,
-    pub discovery_silence: Micros,
+    /// A watch that says nothing whole for so long is doubted, and another one asked for.
+    pub discovery_doubt: Micros,
     /// From when on SIGTERM sessions are moved, by when all are, till when last lines are awaited; no exit
     /// before `stop_least`.
     pub stop_from: Micros,
@@ -166,8 +167,9 @@
             stuck: 30_000 * MS,
             end: 500 * MS,
             discovery_first: (ask / 2).min(4_000 * MS),
-            // An idle watch brings an empty line every 2 s.
-            discovery_silence: (ask / 2).min(5_000 * MS),
+            // An idle watch brings an empty line every 2 s, and a quarter more for one that is late. What a silent
+            // one misses counts as told 6 s after it fell silent: the rest is for the next one to be answered.
+            discovery_doubt: (ask / 2).min(2_500 * MS),
             // Whom the only relay that is up moves early waits for the next start, and longer with each try.
             // The front goes on sending new connections for 0.2 to 0.4 s.
             stop_from: patience.max(500 * MS).min(kill - 450 * MS),
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod shelf;
 pub mod status;
 pub mod talk;
+pub mod values;
--- a/relay/src/net/orders/mod.rs
+++ b/relay/src/net/orders/mod.rs
@@ -1,6 +1,7 @@
 //! The tasks alone, on real connections. A test plays the reducer, the client, the backends and discovery, and so
 //! forces each order of two events: what a task is told comes when the test says so, and bytes, ends and resets are
 //! waited for in the system's own queues, while no task runs, before it is let go on.
+mod lists;
 mod passing;
 mod waiting;
 
--- /dev/null
+++ b/relay/src/values.rs
@@ -0,0 +1,130 @@
+//! JSON values as they come on a stream, one behind the other, on one line or many, in pieces of any size.
+//! Nothing here reads a socket or knows what a value means.
+
+/// What comes next on the stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// One whole object or list.
+    Value(Vec<u8>),
+    /// A line's end that stands in no value: whoever sends it lives.
+    Blank,
+}
+
+/// Collects what has come of the next value. It looks at each byte once.
+#[derive(Default)]
+pub struct Values {
+    bytes: Vec<u8>,
+    /// How far of them was looked through.
+    seen: usize,
+    /// Brackets that are open; a value has begun where there are some.
+    depth: usize,
+    /// Inside of a text, and behind a backslash in it.
+    text: bool,
+    escaped: bool,
+}
+
+impl Values {
+    pub fn add(&mut self, bytes: &[u8]) {
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    /// The next part; none where it is not whole yet.
+    ///
+    /// # Errors
+    /// What stands between values is no white space, or a value has more bytes than `most`: with that the stream
+    /// means nothing any more.
+    pub fn next(&mut self, most: usize) -> Result<Option<Part>, String> {
+        while let Some(&byte) = self.bytes.get(self.seen) {
+            self.seen += 1;
+            let was = self.depth;
+            match byte {
+                _ if self.escaped => self.escaped = false,
+                b'\\' if self.text => self.escaped = true,
+                b'"' if was > 0 => self.text = !self.text,
+                _ if self.text => {}
+                b'{' | b'[' => self.depth += 1,
+                b'}' | b']' if was > 0 => self.depth -= 1,
+                b'\n' if was == 0 => {
+                    self.take();
+                    return Ok(Some(Part::Blank));
+                }
+                _ if was == 0 && !byte.is_ascii_whitespace() => {
+                    return Err("the list is not JSON: a value begins with neither { nor [".to_string());
+                }
+                _ => {}
+            }
+            match (was, self.depth) {
+                (0, 0) => _ = self.take(),
+                (1, 0) => return Ok(Some(Part::Value(self.take()))),
+                _ if self.seen > most => return Err(format!("a value of the list is over {most} bytes")),
+                _ => {}
+            }
+        }
+        Ok(None)
+    }
+
+    fn take(&mut self) -> Vec<u8> {
+        let rest = self.bytes.split_off(self.seen);
+        self.seen = 0;
+        std::mem::replace(&mut self.bytes, rest)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const TEXT: &str = "{\"a\":[1,{\"b\":\"}]{[\\\"\\\\\"}]}\n\n  {\n  \"c\": [\n  ]\n}\r\n[2]{}\n";
+
+    fn all(values: &mut Values) -> Vec<Part> {
+        std::iter::from_fn(|| values.next(64).expect("it is sound")).collect()
+    }
+
+    fn wanted() -> Vec<Part> {
+        let value = |text: &str| Part::Value(text.as_bytes().to_vec());
+        vec![
+            value("{\"a\":[1,{\"b\":\"}]{[\\\"\\\\\"}]}"),
+            Part::Blank,
+            Part::Blank,
+            value("{\n  \"c\": [\n  ]\n}"),
+            Part::Blank,
+            value("[2]"),
+            value("{}"),
+            Part::Blank,
+        ]
+    }
+
+    #[test]
+    fn every_cut_and_single_bytes_give_what_the_whole_gives() {
+        for cut in 0..=TEXT.len() {
+            let (mut values, mut got) = (Values::default(), Vec::new());
+            for part in [&TEXT[..cut], &TEXT[cut..]] {
+                values.add(part.as_bytes());
+                got.extend(all(&mut values));
+            }
+            assert_eq!(got, wanted(), "cut at {cut}");
+        }
+        let (mut values, mut got) = (Values::default(), Vec::new());
+        for byte in TEXT.bytes() {
+            values.add(&[byte]);
+            got.extend(all(&mut values));
+        }
+        assert_eq!(got, wanted());
+    }
+
+    #[test]
+    fn a_value_without_end_and_words_between_values_end_the_stream() {
+        let mut values = Values::default();
+        values.add(b"{\"a\":\"0123456789");
+        assert_eq!(values.next(64), Ok(None));
+        assert!(values.next(64).is_ok());
+        values.add(&[b'x'; 64]);
+        assert!(values.next(64).is_err());
+        for odd in ["ok", "1", "}", "\"a\"", "{} x"] {
+            let mut values = Values::default();
+            values.add(odd.as_bytes());
+            let said: Vec<_> = (0..3).map(|_| values.next(64)).collect();
+            assert!(said.iter().any(Result::is_err), "{odd}: {said:?}");
+        }
+    }
+}
