One entry that can't be read spoils no list

Cause: config/src/list.rs failed the whole list for one unknown lifecycle or address, and the watch with it, again and again from the same version: drains beside it were never heard. Change: such entries are passed over and said in the log; nothing new goes to the servers that they name till a word that can be read comes. The list in a configuration is still refused by its key.

--- a/config/src/list.rs
+++ b/config/src/list.rs
@@ -20,6 +20,9 @@
     pub generation: u64,
     pub whole: bool,
     pub instances: Vec<Instance>,
+    /// Entries that can't be read whole: by their ids, where these can. Nothing new goes to a server of which such
+    /// a word was the last.
+    pub odd: Vec<Option<String>>,
 }
 
 const PHASES: [(&str, Phase); 3] =
@@ -30,29 +33,43 @@
     PHASES.iter().find(|one| one.1 == phase).map_or("removed", |one| one.0)
 }
 
-/// One line of a watch, or the answer of a call.
+/// One value of a watch, or the answer of a call. An entry that can't be read spoils no other.
 pub fn parse(text: &[u8]) -> Result<List, String> {
     let value: Value = serde_json::from_slice(text).map_err(|e| format!("the list is not JSON: {e}"))?;
     decode(&At::top(&value))
 }
 
+fn instance(at: &At) -> Result<Instance, String> {
+    let (host_port, started) = (at.key("hostPort")?, at.option("startedAtMs"));
+    Ok(Instance {
+        id: at.key("instanceId")?.text()?.to_string(),
+        addr: host_port.text()?.parse().or_else(|_| host_port.wrong("an address with a port"))?,
+        zone: at.option("zone").map_or(Ok(""), |at| at.text())?.to_string(),
+        cell: at.option("cell").map_or(Ok(0), |at| at.small())?,
+        phase: at.key("lifecycle")?.word(&PHASES)?,
+        came_up: started.map_or(Ok(0), |at| at.micros())?,
+    })
+}
+
+/// One that a person or a program wrote down for a start: all of it can be read, or it is refused by its key.
+pub fn strict(at: &At) -> Result<List, String> {
+    at.key("instances")?.list()?.iter().try_for_each(|at| instance(at).map(|_| ()))?;
+    decode(at)
+}
+
 pub fn decode(at: &At) -> Result<List, String> {
-    let instance = |at: &At| -> Result<Instance, String> {
-        let (host_port, started) = (at.key("hostPort")?, at.option("startedAtMs"));
-        Ok(Instance {
-            id: at.key("instanceId")?.text()?.to_string(),
-            addr: host_port.text()?.parse().or_else(|_| host_port.wrong("an address with a port"))?,
-            zone: at.option("zone").map_or(Ok(""), |at| at.text())?.to_string(),
-            cell: at.option("cell").map_or(Ok(0), |at| at.small())?,
-            phase: at.key("lifecycle")?.word(&PHASES)?,
-            came_up: started.map_or(Ok(0), |at| at.micros())?,
-        })
-    };
-    Ok(List {
+    let mut list = List {
         generation: at.key("generation")?.whole()?,
         whole: at.option("reset").map_or(Ok(false), |at| at.yes())?,
-        instances: at.key("instances")?.list()?.iter().map(instance).collect::<Result<_, _>>()?,
-    })
+        ..List::default()
+    };
+    for at in at.key("instances")?.list()? {
+        match instance(&at) {
+            Ok(one) => list.instances.push(one),
+            Err(_) => list.odd.push(at.option("instanceId").and_then(|id| Some(id.text().ok()?.to_string()))),
+        }
+    }
+    Ok(list)
 }
 
 /// The list in the form in which it is read.
--- a/config/src/node.rs
+++ b/config/src/node.rs
@@ -154,7 +154,7 @@
         state,
         digest: fleet::digest(settings.value),
         seed: seed(top.key("seed")?)?,
-        known: top.option("known").map_or(Ok(List::default()), |at| list::decode(&at))?,
+        known: top.option("known").map_or(Ok(List::default()), |at| list::strict(&at))?,
         site,
         limits,
         sockets,
--- a/lab/src/virt/list.rs
+++ b/lab/src/virt/list.rs
@@ -21,7 +21,7 @@
             came_up: book.entry(i).came_up,
         };
         let instances = servers.iter().map(instance).collect();
-        let list = List { generation: book.generation, whole, instances };
+        let list = List { generation: book.generation, whole, instances, ..List::default() };
         if whole {
             // What a whole list leaves out is gone.
             let gone: Vec<usize> = (0..self.day.servers.len())
--- a/recovery/tests/trust.rs
+++ b/recovery/tests/trust.rs
@@ -20,7 +20,7 @@
 }
 
 fn list(generation: u64, instances: Vec<Instance>) -> List {
-    List { generation, whole: true, instances }
+    List { generation, whole: true, instances, ..List::default() }
 }
 
 /// As a relay `r` would have kept it some seconds ago.
--- a/relay/src/net/orders/lists.rs
+++ b/relay/src/net/orders/lists.rs
@@ -147,6 +147,29 @@
     });
 }
 
+/// One entry that can't be read spoils no other, and is told of by its name.
+#[test]
+fn one_bad_entry_spoils_no_list() {
+    play(|_| async {
+        let service = bound().await;
+        let (mut events, mut call) = watch(&service).await;
+        let entry = |id: &str, place: &str, phase: &str| {
+            format!("{{\"instanceId\":\"{id}\",\"hostPort\":\"{place}\",\"lifecycle\":\"{phase}\"}}")
+        };
+        let entries = [
+            entry("s-1", "127.0.0.1:9", "melting"),
+            entry("s-2", "nowhere", "draining"),
+            entry("s-3", "127.0.0.1:9", "up"),
+            "7".to_string(),
+        ];
+        let text = format!("{{\"generation\":4,\"instances\":[{}]}}\n", entries.join(","));
+        call.says(&chunk(&text)).await;
+        let list = told(&mut events).await;
+        assert_eq!(list.instances.iter().map(|one| one.id.as_str()).collect::<Vec<_>>(), ["s-3"]);
+        assert_eq!(list.odd, [Some("s-1".to_string()), Some("s-2".to_string()), None]);
+    });
+}
+
 /// What is no list ends the watch, and the process not.
 #[test]
 fn what_is_no_list_ends_the_watch() {
--- a/relay/src/reducer/hearsay.rs
+++ b/relay/src/reducer/hearsay.rs
@@ -77,7 +77,7 @@
         );
         // This relay's own version stays: discovery is to tell all that came after it.
         let generation = self.generation.unwrap_or(0);
-        self.list(List { generation, whole: false, instances: changed }, out);
+        self.list(List { generation, instances: changed, ..List::default() }, out);
     }
 
     /// What of one server is taken on another's word; none where it changes nothing.
--- a/relay/src/reducer/servers.rs
+++ b/relay/src/reducer/servers.rs
@@ -1,5 +1,5 @@
 //! The servers that the list names, what is known of them by probes, and when they are forgotten.
-use super::{Delay, Effect, Reducer, Server, Stage};
+use super::{note, Delay, Effect, Reducer, Server, Stage};
 use hallrelay::types::{DialEnd, Entry, Input, ListKind, Phase, ServerId};
 use hallrelay_config::list::{Instance, List};
 use hallrelay_grants::judge::Tally;
@@ -28,7 +28,15 @@
             self.servers.values_mut().for_each(|v| v.told.phase = Phase::Gone);
         }
         let kind = if list.whole { ListKind::Full } else { ListKind::Changes };
-        let entries = list.instances.into_iter().map(|one| self.entry(one)).collect();
+        let mut instances = list.instances;
+        if !list.odd.is_empty() {
+            note(format!("{} entries of the list can't be read", list.odd.len()), out);
+            // Whatever such an entry says, nothing new goes where it may say to leave; a whole list has done so.
+            let held = list.odd.iter().flatten().filter_map(|id| self.servers.get(self.ids.get(id)?));
+            let there = held.map(|v| &v.told).filter(|told| told.phase == Phase::Ready);
+            instances.extend(there.map(|told| Instance { phase: Phase::Draining, ..told.clone() }));
+        }
+        let entries = instances.into_iter().map(|one| self.entry(one)).collect();
         self.tell(Input::List { kind, entries }, out);
         self.forget(out);
         self.pong(out);
--- a/relay/src/reducer/shut.rs
+++ b/relay/src/reducer/shut.rs
@@ -33,7 +33,7 @@
         let instances: Vec<Instance> = told.map(|v| v.told.clone()).collect();
         if !instances.is_empty() {
             let generation = self.generation.unwrap_or(0);
-            self.list(List { generation, whole: false, instances }, out);
+            self.list(List { generation, instances, ..List::default() }, out);
         }
     }
 
--- a/relay/src/reducer/watch.rs
+++ b/relay/src/reducer/watch.rs
@@ -74,7 +74,7 @@
         if zones {
             // The same servers, at other places of the zones' list.
             let instances = self.servers.values().map(|v| v.told.clone()).collect();
-            self.list(List { generation: 0, whole: true, instances }, out);
+            self.list(List { whole: true, instances, ..List::default() }, out);
         }
     }
 
