A drain grace of nothing leaves time to connect

Cause: Limits::connect is four fifths of the grace; at 0 no connect could come up at all. Change: 40 ms at least, of the 50 that sockets have beyond all time limits. Seen to fail without it: limits.rs:47: a grace of 0 ms: left 0, right 40000.

--- a/config/src/limits.rs
+++ b/config/src/limits.rs
@@ -148,7 +148,8 @@
             unanswered: 8,
             log_lines: 1024,
             // The line must be out before a drain's grace has passed, counted from the decision to dial.
-            connect: site.connect.min(site.drain_grace * 4 / 5),
+            // (All time limits are 50 ms longer on sockets: a grace of nothing leaves as much.)
+            connect: site.connect.min((site.drain_grace * 4 / 5).max(40 * MS)),
             // Who says nothing is owed an end within 3 s of connecting; `end` is still to come.
             first_line: 2_000 * MS,
             // Lines written bit by bit take 2 s; the error is out at once, `end` waits for the other side.
--- a/config/tests/limits.rs
+++ b/config/tests/limits.rs
@@ -33,3 +33,18 @@
     }
 }
 
+/// A grace of nothing leaves the 50 ms that sockets have beyond all time limits; a connect is never given less time
+/// than it can come up in.
+#[test]
+fn a_connect_has_time_within_any_grace() {
+    for (grace, connect, wanted) in
+        [(0, 250, 40), (20, 250, 40), (100, 60, 60), (250, 250, 200), (2_000, 900, 900)]
+    {
+        let l = limits(|settings| {
+            settings["Rules"]["DrainGrace"] = json!(grace);
+            settings["Ceilings"]["ConnectTimeout"] = json!(connect);
+        });
+        assert_eq!(l.connect, wanted * MS, "a grace of {grace} ms");
+        assert!(l.connect <= grace * MS + 50 * MS);
+    }
+}
