A watch is not doubted sooner than its empty lines come, whatever the time for asking

Found by going through Limits over the range of each setting: the doubt and the time for an answer were half of AskWithin at most. That time is for relays without a watch; with 3 s of it a sound watch was doubted every 1.5 s (an empty line comes each 2 s), a call each time for a service that all share, and with 0 no call could be answered at all. Change: 2.5 s, and 0.5 to 4 s for an answer. Seen to fail without it: limits.rs, a_watch_outlives_any_time_for_asking.

--- a/config/src/limits.rs
+++ b/config/src/limits.rs
@@ -171,7 +171,8 @@
             silence: 2_000 * MS,
             stuck: 30_000 * MS,
             end: 500 * MS,
-            discovery_first: (ask / 2).min(4_000 * MS),
+            // However short that is, an answer has time to come.
+            discovery_first: (ask / 2).clamp(500 * MS, 4_000 * MS),
             // What is told there counts by the drain's grace whether or not a watch is open: twice within it.
             discovery_again: match site.ask_within {
                 None => Some((site.drain_grace / 2).clamp(50 * MS, 500 * MS)),
@@ -179,7 +180,7 @@
             },
             // An idle watch brings an empty line every 2 s, and a quarter more for one that is late. What a silent
             // one misses counts as told 6 s after it fell silent: the rest is for the next one to be answered.
-            discovery_doubt: (ask / 2).min(2_500 * MS),
+            discovery_doubt: 2_500 * MS,
             // Whom the only relay that is up moves early waits for the next start, and longer with each try.
             // The front goes on sending new connections for 0.2 to 0.4 s.
             stop_from: patience.max(500 * MS).min(kill - 450 * MS),
--- a/config/tests/limits.rs
+++ b/config/tests/limits.rs
@@ -33,6 +33,17 @@
     }
 }
 
+/// The time for asking is for relays without a watch: one that is open is not doubted before an empty line is due, and
+/// a call has time to be answered, however short it is.
+#[test]
+fn a_watch_outlives_any_time_for_asking() {
+    for within in [0, 10, 1_000, 3_000, 10_000, 600_000] {
+        let l = limits(|settings| settings["Rules"]["AskWithin"] = json!(within));
+        assert!(l.discovery_doubt > 2_000 * MS, "{within}: {l:?}");
+        assert!((500 * MS..=4_000 * MS).contains(&l.discovery_first), "{within}: {l:?}");
+    }
+}
+
 /// A grace of nothing leaves the 50 ms that sockets have beyond all time limits; a connect is never given less time
 /// than it can come up in.
 #[test]
