A change of the list that comes out of order undoes nothing

Cause: Reducer::heard took every change of the watch that it follows, and its version for the newest. An older one that came behind a newer (a spoilt stream, a service behind several machines) opened a backend again that was told to drain. Change: an older change is passed over and said in the log; a whole list holds, as of a service that began anew.

--- a/relay/src/net/discovery.rs
+++ b/relay/src/net/discovery.rs
@@ -132,7 +132,7 @@
         };
         (open, next, last) = (now, None, Instant::now());
         if let Some(list) = list {
-            since = list.generation;
+            since = if list.whole { list.generation } else { list.generation.max(since) };
             hub.tell(Event::List { watch: id, list }).await;
         }
     }
--- a/relay/src/reducer/watch.rs
+++ b/relay/src/reducer/watch.rs
@@ -1,5 +1,5 @@
 //! The watch on the list: asked for, renewed, moved by a new configuration.
-use super::{Alarm, Effect, Reducer};
+use super::{note, Alarm, Effect, Reducer};
 use hallrelay::types::{Input, ListKind};
 use hallrelay_config::list::List;
 use hallrelay_config::node::Node;
@@ -19,6 +19,10 @@
     pub(super) fn heard(&mut self, watch: u32, list: List, out: &mut Vec<Effect>) {
         let w = &mut self.watch;
         if watch == w.last {
+            // Guards what was heard against a change that was told out of order: it is older than what holds.
+            if !list.whole && self.generation.is_some_and(|held| list.generation < held) {
+                return note(format!("a change of version {} came too late", list.generation), out);
+            }
             self.generation = Some(list.generation);
             let before = w.before.replace(watch).filter(|before| *before != watch);
             out.extend(before.map(|watch| Effect::Unwatch { watch }));
