A referenced session's dial goes out within its window, or not at all

Found while reading rule 2 with late connects in mind. Cause: the module weighs the window as it decides (Relay::legal); the line went out up to a connect later, 0.2 s and more where grace and connect timeout are long. Change: the module's dial says what is left of the window, the smallest departure (six lines), and the relay begins it by then, or it is unconnected: nothing ran.

--- a/lab/src/virt/mod.rs
+++ b/lab/src/virt/mod.rs
@@ -534,7 +534,7 @@
         for effect in effects {
             match effect {
                 Effect::Alarm { after, alarm } => self.later(after, Ev::Alarm { relay, life, alarm }),
-                Effect::Dial { sess, dial, addr, wait } => self.dial(relay, sess, dial, addr, wait),
+                Effect::Dial { sess, dial, addr, wait, .. } => self.dial(relay, sess, dial, addr, wait),
                 Effect::Pass { sess } => {
                     let Some(line) = self.relays[relay].lines.get_mut(&sess) else { continue };
                     line.open = true;
--- a/relay/src/net/serve.rs
+++ b/relay/src/net/serve.rs
@@ -243,8 +243,8 @@
                     // Who asked may be gone by now.
                     _ = self.calls.remove(&call).map(|answer| answer.send(reply));
                 }
-                Effect::Dial { sess, dial, addr, wait } => {
-                    let by = self.hub.clock.now() + self.hub.limits().connect;
+                Effect::Dial { sess, dial, addr, wait, begin } => {
+                    let by = self.hub.clock.now() + begin;
                     let command = Command::Dial { dial, addr, wait, by };
                     let ticket = self.tickets.remove(&sess);
                     let unwritten = |t: &u64| self.keeper.as_ref().is_some_and(|keeper| !keeper.settled(*t));
--- a/relay/src/reducer/events.rs
+++ b/relay/src/reducer/events.rs
@@ -206,6 +206,8 @@
         dial: u32,
         addr: SocketAddr,
         wait: Micros,
+        /// The time in which its line must begin to go out.
+        begin: Micros,
     },
     /// From here on lines pass both ways.
     Pass {
--- a/relay/src/reducer/mod.rs
+++ b/relay/src/reducer/mod.rs
@@ -290,13 +290,14 @@
     /// What the module asks for, in the program's own effects.
     fn carry(&mut self, ask: module::Effect, out: &mut Vec<Effect>) {
         match ask {
-            module::Effect::Dial { sess, server, wait } => {
+            module::Effect::Dial { sess, server, wait, window } => {
                 let Some(s) = self.sessions.get_mut(&sess) else { return };
                 (s.stage, s.server, s.dials) = (Stage::Dial, Some(server), s.dials + 1);
                 let dial = s.dials - 1;
                 if let Some(addr) = self.servers.get(&server).map(|v| v.told.addr) {
                     self.keep_turn(server, sess, out);
-                    return out.push(Effect::Dial { sess, dial, addr, wait });
+                    let begin = self.node.limits.connect.min(window.unwrap_or(Micros::MAX));
+                    return out.push(Effect::Dial { sess, dial, addr, wait, begin });
                 }
                 let end = DialEnd::Unconnected;
                 self.tell(Input::DialEnded { sess, dial, end, settled: false, report: None }, out);
--- a/relay/src/reducer/sessions.rs
+++ b/relay/src/reducer/sessions.rs
@@ -141,7 +141,8 @@
             return self.answer(sess, Effect::TearDown { sess }, out);
         };
         (s.stage, s.dials) = (Stage::Dial, s.dials + 1);
-        out.push(Effect::Dial { sess, dial: s.dials - 1, addr, wait: s.due - self.now });
+        let (dial, wait, begin) = (s.dials - 1, s.due - self.now, self.node.limits.connect);
+        out.push(Effect::Dial { sess, dial, addr, wait, begin });
     }
 
     /// The time of a session is up without an answer.
--- a/relay/tests/common/mod.rs
+++ b/relay/tests/common/mod.rs
@@ -17,6 +17,11 @@
 
 static LAST_ID: AtomicU64 = AtomicU64::new(1);
 
+/// A number that no other session of this process has.
+pub fn number() -> u64 {
+    LAST_ID.fetch_add(1, Ordering::Relaxed)
+}
+
 pub struct Site {
     pub folder: PathBuf,
     pub listen: SocketAddr,
--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -220,7 +220,7 @@
     pub fn effect(&mut self, instance: u16, effect: &Effect) {
         let ms = |t: Micros| (t as f64 / 1000.0).to_le_bytes();
         match *effect {
-            Effect::Dial { sess, server, wait } => {
+            Effect::Dial { sess, server, wait, .. } => {
                 self.record(64, instance, &[&sess.to_le_bytes(), &server.to_le_bytes(), &ms(wait)]);
             }
             Effect::Refuse { sess, retry_after } => {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -518,7 +518,12 @@
         // A dial gets its handshake target, doubled with each dial; the last one all that is left.
         let last = s.dials >= s.rule.most_dials || listener.repeat != Repeat::Repeatable;
         let wait = if last { left } else { left.min(listener.handshake_target << s.dials.min(8)) };
-        out.push(Effect::Dial { sess, server, wait });
+        // Guards a referenced session whose connect comes up late: within its window by then, or not at all.
+        let window = match (s.ran, listener.repeat) {
+            (Some((since, ..)), Repeat::Referenced { window, .. }) => Some(since + window - self.now),
+            _ => None,
+        };
+        out.push(Effect::Dial { sess, server, wait, window });
         self.count(sess, 1);
         let v = self.servers.get_mut(&server).expect("the pool names what is listed");
         v.turn = (self.now, 1.0);
--- a/src/types.rs
+++ b/src/types.rs
@@ -198,11 +198,29 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
-    Dial { sess: SessId, server: ServerId, wait: Micros },
-    Refuse { sess: SessId, retry_after: Micros },
-    TearDown { sess: SessId },
-    Move { sess: SessId },
-    Probe { server: ServerId },
-    Alarm { after: Micros, label: u32 },
+    /// `window`: what is left for the line to go out where rule 2 bounds that.
+    Dial {
+        sess: SessId,
+        server: ServerId,
+        wait: Micros,
+        window: Option<Micros>,
+    },
+    Refuse {
+        sess: SessId,
+        retry_after: Micros,
+    },
+    TearDown {
+        sess: SessId,
+    },
+    Move {
+        sess: SessId,
+    },
+    Probe {
+        server: ServerId,
+    },
+    Alarm {
+        after: Micros,
+        label: u32,
+    },
     Watch,
 }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -172,7 +172,10 @@
 
 fn shown(effect: &Effect) -> String {
     match effect {
-        Effect::Dial { sess, server, .. } => format!("dial {sess} at {server}"),
+        Effect::Dial { sess, server, window: None, .. } => format!("dial {sess} at {server}"),
+        Effect::Dial { sess, server, window: Some(left), .. } => {
+            format!("dial {sess} at {server} within {}", left / 1000)
+        }
         Effect::Refuse { sess, retry_after: 0 } => format!("refuse {sess}"),
         Effect::Refuse { sess, .. } => format!("refuse {sess} with retry-after"),
         Effect::TearDown { sess } => format!("tear down {sess}"),
