--- a/relay/tests/common/mod.rs
+++ b/relay/tests/common/mod.rs
@@ -259,6 +259,11 @@
         _ = self.0.get_mut().write_all(format!("{line}\r\n").as_bytes());
     }
 
+    /// Leaves by a reset.
+    pub fn reset(self) {
+        _ = socket2::SockRef::from(self.0.get_ref()).set_linger(Some(Duration::ZERO));
+    }
+
     /// Ends its sending, and reads on.
     pub fn shut(&self) {
         _ = self.0.get_ref().shutdown(std::net::Shutdown::Write);
