--- a/relay/src/net/orders/waiting.rs
+++ b/relay/src/net/orders/waiting.rs
@@ -157,6 +157,22 @@
     }
 }
 
+/// A dial that was held back, as its fact was to be written first, and is let go after its client has left.
+#[test]
+fn a_dial_that_comes_behind_the_end_goes_nowhere() {
+    play(|mut play| async move {
+        let (backend, client) = (bound().await, play.client_with(LINE).await);
+        let conn = play.opened().await;
+        let mut client = leaves(client, Lies::End).expect("it reads on");
+        assert_eq!(play.event().await, Event::Departed { sess: conn });
+        play.dials(conn, 0, &backend, LONG);
+        play.quiet().await;
+        play.answers(conn, "FAIL\r\n");
+        assert_eq!(client.hears().await, "FAIL\r\n");
+        untouched(&backend).await;
+    });
+}
+
 /// Line and end lie there together, as in an accept queue after a standstill.
 #[test]
 fn who_left_in_the_accept_queue_is_not_sent_on() {
