--- a/relay/tests/common/agreed.rs
+++ b/relay/tests/common/agreed.rs
@@ -13,10 +13,17 @@
 
 impl Fleet {
     pub fn started(name: &str, count: usize, voters: usize, budgets: &Value) -> Fleet {
+        let fleet = Fleet::begun(name, count, voters, 3, budgets);
+        fleet.until_known(count);
+        fleet
+    }
+
+    /// The same before so many backends, not waited for.
+    pub fn begun(name: &str, count: usize, voters: usize, backends: usize, budgets: &Value) -> Fleet {
         let places: Vec<SocketAddr> = (0..count).map(|_| free()).collect();
         let peers: Vec<String> = places.iter().map(ToString::to_string).collect();
         let voters: Vec<String> = (0..voters).map(|i| format!("r{i}")).collect();
-        let backends: Vec<Counted> = (0..3).map(|_| Counted::begin()).collect();
+        let backends: Vec<Counted> = (0..backends).map(|_| Counted::begin()).collect();
         let known = |(i, b): (usize, &Counted)| json!({"instanceId": format!("b-{i}"), "hostPort": b.place.to_string(), "lifecycle": "up"});
         let known: Vec<Value> = backends.iter().enumerate().map(known).collect();
         let site = |(i, place): (usize, &SocketAddr)| {
@@ -32,9 +39,7 @@
         };
         let mut sites: Vec<Site> = places.iter().enumerate().map(site).collect();
         let relays = sites.iter_mut().map(|site| Some(site.start())).collect();
-        let fleet = Fleet { sites, relays, backends };
-        fleet.until_known(count);
-        fleet
+        Fleet { sites, relays, backends }
     }
 
     pub fn relay(&self, i: usize) -> &Relay {
@@ -69,7 +74,8 @@
     pub fn until_known(&self, relays: usize) {
         until("all are seen and in", || {
             let told = self.leader().and_then(|i| told(self.relay(i)));
-            told.is_some_and(|t| t["known"] == relays + 3 && t["things"] == json!([]))
+            let all = relays + self.backends.len();
+            told.is_some_and(|t| t["known"] == all && t["things"] == json!([]))
         });
     }
 
--- a/relay/tests/common/mod.rs
+++ b/relay/tests/common/mod.rs
@@ -2,6 +2,7 @@
 //! A relay's process on free ports of 127.0.0.1, with backends that take every session and echo its lines.
 //! Nothing outlives the test: processes are killed as they are dropped, and every wait is bounded.
 pub mod agreed;
+pub mod load;
 
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
@@ -103,14 +104,7 @@
 
     /// A call's status and body; the bytes are sent as they are.
     pub fn say(&self, text: &[u8]) -> (u16, String) {
-        let mut stream = TcpStream::connect(self.operator).expect("the second address listens");
-        stream.set_read_timeout(Some(SOON)).expect("a timeout");
-        _ = stream.write_all(text);
-        let mut bytes = Vec::new();
-        _ = stream.read_to_end(&mut bytes);
-        let answer = String::from_utf8_lossy(&bytes);
-        let status = answer.split(' ').nth(1).and_then(|word| word.parse().ok()).unwrap_or(0);
-        (status, answer.to_string())
+        say(self.operator, text)
     }
 
     pub fn call(&self, method: &str, path: &str) -> (u16, String) {
@@ -145,6 +139,18 @@
     }
 }
 
+/// A call at a relay's second address.
+pub fn say(operator: SocketAddr, text: &[u8]) -> (u16, String) {
+    let mut stream = TcpStream::connect(operator).expect("the second address listens");
+    stream.set_read_timeout(Some(SOON)).expect("a timeout");
+    _ = stream.write_all(text);
+    let mut bytes = Vec::new();
+    _ = stream.read_to_end(&mut bytes);
+    let answer = String::from_utf8_lossy(&bytes);
+    let status = answer.split(' ').nth(1).and_then(|word| word.parse().ok()).unwrap_or(0);
+    (status, answer.to_string())
+}
+
 pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
     let started = Instant::now();
     while !holds() {
