--- a/relay/tests/release.rs
+++ b/relay/tests/release.rs
@@ -4,7 +4,7 @@
 
 use common::agreed::{post, row, said, told, Fleet};
 use common::load::Load;
-use common::{until, Client};
+use common::until;
 use serde_json::{json, Value};
 use std::net::SocketAddr;
 use std::path::PathBuf;
