--- a/relay/tests/common/mod.rs
+++ b/relay/tests/common/mod.rs
@@ -2,6 +2,7 @@
 //! A relay's process on free ports of 127.0.0.1, with backends that take every session and echo its lines.
 //! Nothing outlives the test: processes are killed as they are dropped, and every wait is bounded.
 pub mod agreed;
+pub mod discovery;
 pub mod load;
 
 use serde_json::{json, Value};
--- a/relay/tests/recovery.rs
+++ b/relay/tests/recovery.rs
@@ -3,86 +3,14 @@
 //! by counts.
 mod common;
 
-use common::{bound, free, listener, until, Client, Counted, Relay, Site};
-use serde_json::{json, Value};
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use common::discovery::{instance, Discovery};
+use common::{free, listener, until, Client, Counted, Relay, Site};
+use serde_json::json;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Command;
-use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-/// A list service: its version, and the whole list as it is now; dark where there is none.
-struct Discovery {
-    at: SocketAddr,
-    list: Arc<Mutex<Told>>,
-}
-
-/// Its version, and the whole list; none while it is dark.
-type Told = Option<(u64, Vec<Value>)>;
-
-impl Discovery {
-    fn begin(instances: Vec<Value>) -> Discovery {
-        let listener = bound();
-        let at = listener.local_addr().expect("its address");
-        let list = Arc::new(Mutex::new(Some((1, instances))));
-        let told = list.clone();
-        std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let told = told.clone();
-                std::thread::spawn(move || answer(stream, &told));
-            }
-        });
-        Discovery { at, list }
-    }
-
-    fn tell(&self, instances: Vec<Value>) {
-        let mut list = self.list.lock().expect("nobody panics with it");
-        let generation = list.as_ref().map_or(1, |list| list.0) + 1;
-        *list = Some((generation, instances));
-    }
-
-    /// It answers nobody any more.
-    fn goes_dark(&self) {
-        *self.list.lock().expect("nobody panics with it") = None;
-    }
-}
-
-fn answer(mut stream: TcpStream, list: &Mutex<Told>) {
-    let mut asked = Vec::new();
-    let mut part = [0; 1024];
-    while !asked.ends_with(b"\r\n\r\n") {
-        match stream.read(&mut part) {
-            Ok(n @ 1..) => asked.extend_from_slice(&part[..n]),
-            _ => return,
-        }
-    }
-    let now = || list.lock().expect("nobody panics with it").clone();
-    let text = |(generation, instances): (u64, Vec<Value>)| {
-        json!({"generation": generation, "reset": false, "instances": instances}).to_string() + "\n"
-    };
-    let Some(first) = now() else { return };
-    let follows = String::from_utf8_lossy(&asked).contains("follow=1");
-    let mut last = if follows { 0 } else { first.0 };
-    let head = "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n";
-    let whole = if follows { String::new() } else { text(first) };
-    if stream.write_all((head.to_string() + &whole).as_bytes()).is_err() || !follows {
-        return;
-    }
-    while let Some(list) = now() {
-        let line = if list.0 > last { text(list.clone()) } else { "\n".to_string() };
-        last = list.0;
-        if stream.write_all(line.as_bytes()).is_err() {
-            return;
-        }
-        std::thread::sleep(Duration::from_millis(50));
-    }
-}
-
-fn instance(id: &str, at: &Counted, lifecycle: &str, started_ms: u64) -> Value {
-    json!({"instanceId": id, "hostPort": at.place.to_string(), "lifecycle": lifecycle, "startedAtMs": started_ms})
-}
-
 struct Fixture {
     site: Site,
     state: PathBuf,
@@ -228,7 +156,7 @@
     // The first one is told that s-2 is gone, and starts again beside one that believes in it.
     killed(first);
     killed(other);
-    *f.discovery.list.lock().expect("nobody panics with it") = Some((2, vec![]));
+    f.discovery.begins_anew(2);
     let first = f.site.start();
     first.until_ready();
     let gone = vec![instance("s-1", &f.servers[1], "up", 0), instance("s-2", &third, "removed", 0)];
@@ -316,3 +244,51 @@
     until("the old one keeps again", || kept(&f.state, "\"startedAtMs\":5"));
     killed(old);
 }
+
+/// A store that has grown to a gigabyte, and a disk that stands still: a start waits for neither beyond its time, and
+/// what stands before the growth holds.
+#[test]
+fn a_huge_store_and_a_disk_that_stands_still_hold_up_nobody() {
+    const GIGABYTE: u64 = 1 << 30;
+    /// What a start may wait for the store, and what a busy machine adds.
+    const WAIT: Duration = Duration::from_millis(2_000 + 1_500);
+    let mut f = fixture("huge");
+    let relay = f.site.start();
+    relay.until_ready();
+    let draining =
+        vec![instance("s-0", &f.servers[0], "draining", 0), instance("s-1", &f.servers[1], "up", 0)];
+    f.discovery.tell(draining);
+    until("it is kept", || kept(&f.state, "\"draining\""));
+    killed(relay);
+    f.discovery.goes_dark();
+    let log = f.state.join("log");
+    let file = std::fs::OpenOptions::new().write(true).open(&log).expect("a log");
+    file.set_len(GIGABYTE).expect("it grows");
+    drop(file);
+    let before = f.servers[0].opened();
+    let (began, relay) = (std::time::Instant::now(), f.site.start());
+    relay.until_ready();
+    let took = began.elapsed();
+    assert!(took < WAIT, "{took:?}");
+    assert_eq!((sessions(f.site.listen, 30), f.servers[0].opened()), (30, before), "what it kept holds");
+    until("it is of its size again", || std::fs::metadata(&log).expect("a log").len() < GIGABYTE / 100);
+    let status = std::fs::read_to_string(format!("/proc/{}/status", relay.child.id())).expect("it lives");
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a figure");
+    let peak: u64 = peak.trim().trim_end_matches(" kB").parse().expect("a number");
+    println!("a store of 1 GB: ready after {took:?}, {peak} kB at most");
+    // Twice what a store may hold.
+    assert!(peak < 160 * 1024, "{peak} kB");
+    killed(relay);
+    // A pipe in place of the log: whoever opens it stands still.
+    std::fs::remove_file(&log).expect("a log");
+    assert!(Command::new("mkfifo").arg(&log).status().expect("a program").success());
+    let (began, mut relay) = (std::time::Instant::now(), f.site.start());
+    relay.until_ready();
+    let took = began.elapsed();
+    println!("a disk that stands still: ready after {took:?}");
+    assert!(took < WAIT, "{took:?}");
+    assert_eq!(sessions(f.site.listen, 30), 30);
+    relay.signal("TERM");
+    until("it ends", || relay.has_ended());
+    assert!(relay.child.wait().expect("a child").success());
+}
