The processes' tests begin no program while a port is being found

Seen: stops.rs failed two of fifty times, "waited in vain: the relay is ready"; with its log kept, "cannot serve: 127.164.0.35:46081: Address already in use". Cause: free() lets a port go, and a child that another thread begins at that moment holds the socket too, from its fork till it runs its own program. Ruled out: two processes with one range of addresses (each failed with nothing beside it), orphans, a source port (it is 127.0.0.1). Change: one lock round finding a port and beginning a program; what a relay said stands beside a wait in vain.

--- a/relay/tests/common/agreed.rs
+++ b/relay/tests/common/agreed.rs
@@ -107,7 +107,7 @@
 pub fn said(relay: &Relay, what: &str, words: &[&str]) -> (Option<i32>, String) {
     let mut command = Command::new(env!("CARGO_BIN_EXE_hallrelay"));
     let at = relay.operator.to_string();
-    let output = command.arg(what).args(words).args(["--at", &at]).output().expect("it runs");
+    let output = super::output(command.arg(what).args(words).args(["--at", &at]));
     let text = [output.stdout, output.stderr].concat();
     (output.status.code(), String::from_utf8_lossy(&text).into_owned())
 }
--- a/relay/tests/common/mod.rs
+++ b/relay/tests/common/mod.rs
@@ -9,9 +9,9 @@
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 /// How long is waited for what must come.
@@ -58,7 +58,7 @@
     pub fn served(name: &str) -> (Site, Relay) {
         let mut site = Site::new(name);
         let relay = site.start();
-        until("the relay is ready", || relay.ready());
+        relay.until_ready();
         (site, relay)
     }
 
@@ -71,11 +71,12 @@
         std::fs::write(&path, self.text.to_string()).expect("a configuration");
         let mut command = Command::new(env!("CARGO_BIN_EXE_hallrelay"));
         command.arg("serve").arg("--config").arg(&path).env("TMPDIR", &self.folder);
-        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null());
+        let log = std::fs::File::create(path.with_extension("log")).expect("a log");
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
         for name in ["NODE_NAME", "NODE_LISTEN", "NODE_DISCOVERY", "NODE_OPERATOR"] {
             command.env_remove(name);
         }
-        let child = command.spawn().expect("the relay starts");
+        let child = spawned(&mut command);
         Relay { child, path, operator }
     }
 }
@@ -100,7 +101,7 @@
 impl Relay {
     pub fn signal(&self, name: &str) {
         let kill = format!("kill -{name} {}", self.child.id());
-        assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
+        assert!(output(Command::new("sh").args(["-c", &kill])).status.success());
     }
 
     /// A call's status and body; the bytes are sent as they are.
@@ -117,7 +118,12 @@
     }
 
     pub fn until_ready(&self) {
-        until("the relay is ready", || self.ready());
+        let started = Instant::now();
+        while !self.ready() {
+            let log = || std::fs::read_to_string(self.path.with_extension("log")).unwrap_or_default();
+            assert!(started.elapsed() < SOON, "waited in vain: the relay is ready; it says: {}", log());
+            std::thread::sleep(Duration::from_millis(20));
+        }
     }
 
     /// One figure, by its whole name; none where it is not told.
@@ -160,8 +166,25 @@
     }
 }
 
+/// Held while a program is begun, and while a port is found. Guards a port that was let go: a child that another
+/// thread begins just then holds the socket too, till it runs its own program, and the address is in use still.
+static FORK: Mutex<()> = Mutex::new(());
+
+/// Begins a program.
+pub fn spawned(command: &mut Command) -> Child {
+    let _held = FORK.lock().unwrap_or_else(PoisonError::into_inner);
+    command.spawn().expect("the program starts")
+}
+
+/// What a program says, and how it ends.
+pub fn output(command: &mut Command) -> Output {
+    let child = spawned(command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped()));
+    child.wait_with_output().expect("it ends")
+}
+
 /// At an address of its own, so that no connection of another test's takes the port meanwhile.
 pub fn free() -> SocketAddr {
+    let _held = FORK.lock().unwrap_or_else(PoisonError::into_inner);
     bound().local_addr().expect("its address")
 }
 
--- a/relay/tests/fleet.rs
+++ b/relay/tests/fleet.rs
@@ -61,8 +61,7 @@
 /// The command's exit status and what it prints.
 fn said(at: SocketAddr, more: &[&str]) -> (Option<i32>, String) {
     let mut command = Command::new(env!("CARGO_BIN_EXE_hallrelay"));
-    let output = command.args(["fleet", "status", "--at", &at.to_string()]).args(more).output();
-    let output = output.expect("it runs");
+    let output = common::output(command.args(["fleet", "status", "--at", &at.to_string()]).args(more));
     (output.status.code(), String::from_utf8_lossy(&output.stdout).into_owned())
 }
 
@@ -267,7 +266,7 @@
         let path = site.folder.join("faulty.json");
         std::fs::write(&path, text.to_string()).expect("a file");
         let mut command = Command::new(env!("CARGO_BIN_EXE_hallrelay"));
-        let output = command.arg("check").arg("--config").arg(&path).output().expect("it runs");
+        let output = common::output(command.arg("check").arg("--config").arg(&path));
         (output.status.success(), String::from_utf8_lossy(&output.stderr).into_owned())
     };
     for (fleet, wanted) in cases {
--- a/relay/tests/left.rs
+++ b/relay/tests/left.rs
@@ -53,7 +53,8 @@
     let (pid, done) = (relay.child.id(), ended.clone());
     let stalls = std::thread::spawn(move || {
         let kill = |signal: &str| {
-            _ = std::process::Command::new("sh").args(["-c", &format!("kill -{signal} {pid}")]).status();
+            let kill = format!("kill -{signal} {pid}");
+            common::output(std::process::Command::new("sh").args(["-c", &kill]));
         };
         while !*done.lock().expect("no panic") {
             kill("STOP");
--- a/relay/tests/power.rs
+++ b/relay/tests/power.rs
@@ -67,7 +67,7 @@
 
     fn kept(&self, i: usize, text: &str) -> bool {
         let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_hallrelay"));
-        let output = command.args(["store", "export"]).arg(&self.states[i]).output().expect("it runs");
+        let output = common::output(command.args(["store", "export"]).arg(&self.states[i]));
         String::from_utf8_lossy(&output.stdout).contains(text)
     }
 
--- a/relay/tests/recovery.rs
+++ b/relay/tests/recovery.rs
@@ -39,7 +39,7 @@
 
 fn shelf(what: &str, state: &Path) -> (Option<i32>, String) {
     let mut command = Command::new(env!("CARGO_BIN_EXE_hallrelay"));
-    let output = command.args(["store", what]).arg(state).output().expect("it runs");
+    let output = common::output(command.args(["store", what]).arg(state));
     (output.status.code(), String::from_utf8_lossy(&output.stdout).into_owned())
 }
 
@@ -281,7 +281,7 @@
     killed(relay);
     // A pipe in place of the log: whoever opens it stands still.
     std::fs::remove_file(&log).expect("a log");
-    assert!(Command::new("mkfifo").arg(&log).status().expect("a program").success());
+    assert!(common::output(Command::new("mkfifo").arg(&log)).status.success());
     let (began, mut relay) = (std::time::Instant::now(), f.site.start());
     relay.until_ready();
     let took = began.elapsed();
--- a/relay/tests/stops.rs
+++ b/relay/tests/stops.rs
@@ -178,11 +178,11 @@
     relay.until_ready();
     drop(relay);
     let pipe = site.folder.join("pipe");
-    assert!(Command::new("mkfifo").arg(&pipe).status().expect("a program").success());
+    assert!(common::output(Command::new("mkfifo").arg(&pipe)).status.success());
     let mut command = Command::new(env!("CARGO_BIN_EXE_hallrelay"));
     command.arg("serve").arg("--config").arg(&pipe).env("TMPDIR", &site.folder);
     command.stderr(std::process::Stdio::null());
-    let child = command.spawn().expect("the relay starts");
+    let child = common::spawned(&mut command);
     let operator = site.text["operator"].as_str().and_then(|at| at.parse().ok()).expect("an address");
     let relay = Relay { child, path: pipe.clone(), operator };
     // Opens only as the program reads there: its own start is behind it by then, and signals are not caught yet.
