Read once more: one maker of a hub, one reading of stale words, one answer that is owed

Found in the change, read whole: the tests' hub was written beside serve's; admit.rs named the words from before a session twice, and took a client that left by two alike arms; duty.rs and sessions.rs each chose between a refusal and a failure. Of the tests: a dialled session, a drain that is kept, a wait with a time of its own and an entry of the list stood in copies. Change: Hub::new, word() for both waits, owed(), Play::dialled, drain_kept, within, instance. No assertion, bound or order differs.

--- a/config/src/limits.rs
+++ b/config/src/limits.rs
@@ -45,7 +45,8 @@
     /// The time to write a last line and for the other side to close.
     pub end: Micros,
     pub discovery_first: Micros,
-    /// How long after a watch broke the next one is asked for where lists come unasked; elsewhere the module says.
+    /// How long after a watch broke the next one is asked for where lists come unasked; elsewhere the module
+    /// says.
     pub discovery_again: Option<Micros>,
     /// A watch that says nothing whole for so long is doubted, and another one asked for.
     pub discovery_doubt: Micros,
@@ -126,7 +127,8 @@
             return Err(format!("limits.sockets is {sockets}, wanted {} at least", own * 2));
         }
         let longest = site.dial_timeouts.iter().copied().max().unwrap_or(0);
-        // An ordered stop: SIGKILL comes no sooner than the longest dial timeout, 3 s at most, and 0.7 s more.
+        // An ordered stop: SIGKILL comes no sooner than the longest dial timeout, 3 s at most, and 0.7 s
+        // more.
         let patience = longest.min(3_000 * MS);
         let kill = patience + 700 * MS;
         // Two watch calls fit into the time that a relay may go unasked.
@@ -163,8 +165,9 @@
             answer_late: 510 * MS,
             // A probe is a small message: twice what a connect may take.
             probe: site.connect * 2,
-            // Backends may close sooner what idles, and that is no fault of theirs. Closing here before they do (4 s where
-            // they do so after 5) cost a tenth of service where a third of connections come up late.
+            // Backends may close sooner what idles, and that is no fault of theirs. Closing here before they
+            // do (4 s where they do so after 5) cost a tenth of service where a third of connections come up
+            // late.
             probe_idle: 30_000 * MS,
             // Answers come at once, and clients speak every 2 s: by then two messages would be lost, far from
             // the 7 s within which clients must be told. 4.5 s kept less where servers drop sessions unsaid.
@@ -178,8 +181,9 @@
                 None => Some((site.drain_grace / 2).clamp(50 * MS, 500 * MS)),
                 Some(_) => None,
             },
-            // An idle watch brings an empty line every 2 s, and a quarter more for one that is late. What a silent
-            // one misses counts as told 6 s after it fell silent: the rest is for the next one to be answered.
+            // An idle watch brings an empty line every 2 s, and a quarter more for one that is late. What a
+            // silent one misses counts as told 6 s after it fell silent: the rest is for the next one's
+            // answer.
             discovery_doubt: 2_500 * MS,
             // Whom the only relay that is up moves early waits for the next start, and longer with each try.
             // The front goes on sending new connections for 0.2 to 0.4 s.
--- a/config/src/list.rs
+++ b/config/src/list.rs
@@ -20,8 +20,8 @@
     pub generation: u64,
     pub whole: bool,
     pub instances: Vec<Instance>,
-    /// Entries that can't be read whole: by their ids, where these can. Nothing new goes to a server of which such
-    /// a word was the last.
+    /// Entries that can't be read whole: by their ids, where these can. Nothing new goes to a server of which
+    /// such a word was the last.
     pub odd: Vec<Option<String>>,
 }
 
--- a/config/tests/limits.rs
+++ b/config/tests/limits.rs
@@ -12,7 +12,8 @@
     node::parse(text.to_string().as_bytes(), &Told::default()).expect("it is sound").limits
 }
 
-/// SIGKILL comes no sooner than the longest dial timeout, 3 s at most, and 0.7 s after SIGTERM: by then all is over.
+/// SIGKILL comes no sooner than the longest dial timeout, 3 s at most, and 0.7 s after SIGTERM: by then all
+/// is over.
 #[test]
 fn a_stop_is_over_before_it_may_be_killed_whatever_the_dial_timeouts() {
     for timeout in [1, 20, 50, 100, 150, 450, 500, 1_200, 1_800, 3_000, 3_001, 4_800, 30_000, 600_000] {
@@ -24,7 +25,8 @@
             settings["Listeners"][1]["DialTimeout"] = json!(timeout);
         });
         for (l, kill) in [(l, kill), (short, timeout.min(3_000) * MS + 700 * MS)] {
-            // Clients come for 0.4 s; moves are spread over some ticks of 50 ms, and the last ones have time to go.
+            // Clients come for 0.4 s; moves are spread over some ticks of 50 ms, and the last ones have time
+            // to go.
             assert!(l.stop_from >= 250 * MS && l.stop_from + 100 * MS <= l.stop_by, "{timeout}: {l:?}");
             assert!(l.stop_by + 200 * MS <= l.stop_end && l.stop_end + 100 * MS <= kill, "{timeout}: {l:?}");
             assert!(l.stop_least >= 400 * MS && l.stop_least <= l.stop_end, "{timeout}: {l:?}");
@@ -33,8 +35,8 @@
     }
 }
 
-/// The time for asking is for relays without a watch: one that is open is not doubted before an empty line is due, and
-/// a call has time to be answered, however short it is.
+/// The time for asking is for relays without a watch: one that is open is not doubted before an empty line is
+/// due, and a call has time to be answered, however short it is.
 #[test]
 fn a_watch_outlives_any_time_for_asking() {
     for within in [0, 10, 1_000, 3_000, 10_000, 600_000] {
@@ -44,8 +46,8 @@
     }
 }
 
-/// A grace of nothing leaves the 50 ms that sockets have beyond all time limits; a connect is never given less time
-/// than it can come up in.
+/// A grace of nothing leaves the 50 ms that sockets have beyond all time limits; a connect is never given
+/// less time than it can come up in.
 #[test]
 fn a_connect_has_time_within_any_grace() {
     for (grace, connect, wanted) in
--- a/lab/src/virt/list.rs
+++ b/lab/src/virt/list.rs
@@ -36,7 +36,8 @@
     pub(super) fn list_news(&mut self) {
         for relay in 0..self.relays.len() {
             if self.day.list_cut[relay] {
-                // Nothing comes any more: that is noticed after a while, and the next call is not answered either.
+                // Nothing comes any more: that is noticed after a while, and the next call is not answered
+                // either.
                 let limits = &self.relays[relay].limits;
                 let silent = limits.discovery_doubt + limits.discovery_first;
                 for watch in std::mem::take(&mut self.relays[relay].watches) {
--- a/relay/src/buffer.rs
+++ b/relay/src/buffer.rs
@@ -84,8 +84,8 @@
         self.read_with(|bytes| stream.try_read(bytes))
     }
 
-    /// Reads once what lies there, also what the runtime has not been told of: it learns of bytes with its next look
-    /// at all sockets.
+    /// Reads once what lies there, also what the runtime has not been told of: it learns of bytes with its
+    /// next look at all sockets.
     pub fn read_now(&mut self, stream: &TcpStream) -> io::Result<usize> {
         self.read_with(|bytes| (&*SockRef::from(stream)).read(bytes))
     }
--- a/relay/src/net/admit.rs
+++ b/relay/src/net/admit.rs
@@ -39,15 +39,14 @@
             stirred = stirs(&client, &mut buffer) => {
                 return leave(stirred, conn, client, commands, hub).await;
             }
-            command = commands.recv() => command,
+            command = word(&client, &mut commands, hub) => command,
         };
         match command {
             Some(Command::Dial { dial, addr, wait, by }) => {
                 let line = lines::onward(&asked.line, &asked.wait_at, wait / 1000);
                 let order = dial::Order { addr, line: &line, wait, by };
                 match out(order, &client, &mut buffer, &mut commands, hub).await {
-                    Next::Client(stirred) => return leave(stirred, conn, client, commands, hub).await,
-                    Next::Ended(dial::Ended::Client(stirred)) => {
+                    Next::Client(stirred) | Next::Ended(dial::Ended::Client(stirred)) => {
                         return leave(stirred, conn, client, commands, hub).await;
                     }
                     Next::Told(Some(Command::Answer(line))) => {
@@ -81,9 +80,7 @@
                 }
             }
             Some(Command::Answer(line)) => return end::answer(client, &line, &mut commands, hub).await,
-            Some(Command::Pong(line)) => _ = end::write(&client, line, hub.limits().end).await,
-            Some(Command::Shed | Command::Doubt(_)) => {}
-            Some(Command::Close | Command::Pass | Command::Move | Command::PassOn(..)) | None => return,
+            _ => return,
         }
     }
 }
@@ -98,16 +95,16 @@
 ) -> Next {
     tokio::select! {
         biased;
-        // The client's end first, as above; then an order to give up, which holds whatever the backend says by
-        // now: the reducer has no session any more that could stand.
+        // The client's end first, as above; then an order to give up, which holds whatever the backend says
+        // by now: the reducer has no session any more that could stand.
         stirred = stirs(client, buffer) => Next::Client(stirred),
         command = word(client, commands, hub) => Next::Told(command),
         ended = dial::run(order, client, hub) => Next::Ended(ended),
     }
 }
 
-/// The next command that ends a wait: while a dial is out only an end can be asked for. What was told to a
-/// connection before it was a session ends nothing.
+/// The next command for a session that waits. What was told to its connection before it was one ends
+/// nothing: a `PONG` is written, the rest is moot. While a dial is out only an end can be asked for.
 async fn word(client: &TcpStream, commands: &mut Receiver<Command>, hub: &Hub) -> Option<Command> {
     loop {
         match commands.recv().await {
--- a/relay/src/net/dial.rs
+++ b/relay/src/net/dial.rs
@@ -40,13 +40,13 @@
     let limits = hub.limits();
     let over = Instant::now() + span(wait);
     let never = Ended::Not(DialEnd::Unconnected, None);
-    // Guards a client that has left, as the system knows by now and its task does not: here, and as a connection
-    // comes up late.
+    // Guards a client that has left, as the system knows by now and its task does not: here, and as a
+    // connection comes up late.
     if let stirred @ (State::More | State::Ended) = read::now(client) {
         return Ended::Client(stirred);
     }
-    // Guards a drain's grace, and a server's name, against a standstill of this relay: what it decided long ago is not
-    // begun, and is no fault of the server's.
+    // Guards a drain's grace, and a server's name, against a standstill of this relay: what it decided long
+    // ago is not begun, and is no fault of the server's.
     let moot = || hub.clock.now() > by;
     if moot() {
         return Ended::Not(DialEnd::Moot, None);
--- a/relay/src/net/discovery.rs
+++ b/relay/src/net/discovery.rs
@@ -1,6 +1,6 @@
 //! The watch on the list of backends: one call that stays open and brings a line for each change. Where no
-//! version is known there, a call for the whole list comes before it. One that falls silent is doubted, and the
-//! next one opened beside it: whichever speaks first goes on.
+//! version is known there, a call for the whole list comes before it. One that falls silent is doubted, and
+//! the next one opened beside it: whichever speaks first goes on.
 use super::Hub;
 use crate::clock::span;
 use crate::reducer::Event;
@@ -122,8 +122,8 @@
                 Ok((now, list)) => (Some(now), list),
                 Err(why) => return why,
             },
-            // Guards what a silent watch misses: one that says nothing in time is doubted, and the next is asked for
-            // beside it, from the version that was heard last.
+            // Guards what a silent watch misses: one that says nothing in time is doubted, and the next is
+            // asked for beside it, from the version that was heard last.
             () = sleep_until(last + span(limits.discovery_doubt)), if next.is_none() => {
                 slog::debug!(hub.log, "the watch of the list is doubted"; "at" => %addr);
                 next = Some(Box::pin(opened(addr, since, hub.clone())));
--- a/relay/src/net/end.rs
+++ b/relay/src/net/end.rs
@@ -13,8 +13,8 @@
 /// Writes a final answer and ends.
 pub async fn answer(client: TcpStream, line: &[u8], commands: &mut Receiver<Command>, hub: &Hub) {
     if write(&client, line, hub.limits().end).await {
-        // Its place is wanted: the answer is out, and all that is lost is a polite end. Whatever else was on its
-        // way ends nothing, or a session that was told to move as it ended would be cut off.
+        // Its place is wanted: the answer is out, and all that is lost is a polite end. Whatever else was on
+        // its way ends nothing, or a session that was told to move as it ended would be cut off.
         let shed = async { while !matches!(commands.recv().await, Some(Command::Shed) | None) {} };
         tokio::select! {
             biased;
--- a/relay/src/net/first_line.rs
+++ b/relay/src/net/first_line.rs
@@ -30,14 +30,14 @@
     let mut over = came + span(limits.first_line);
     let mut buffer = Buffer::new(limits.buffer_first, limits.buffer_most);
     hub.tell(Event::Came { conn }).await;
-    // Guards the final answer against one that asks without end: what waits for this task has few places, and an
-    // answer that finds none is lost. No more is read than half of them can hold.
+    // Guards the final answer against one that asks without end: what waits for this task has few places, and
+    // an answer that finds none is lost. No more is read than half of them can hold.
     let mut pings = 0;
     loop {
         let next = tokio::select! {
             biased;
-            // A line that is there before a word that its place is wanted, and before its time is up: the relay may
-            // have stood still while it lay there.
+            // A line that is there before a word that its place is wanted, and before its time is up: the
+            // relay may have stood still while it lay there.
             line = more(&client, &mut buffer, limits.line), if pings < limits.commands / 2 => match line {
                 Ok(Some(line)) => Next::Line(line),
                 Ok(None) => Next::Part,
--- a/relay/src/net/mod.rs
+++ b/relay/src/net/mod.rs
@@ -73,6 +73,23 @@
 }
 
 impl Hub {
+    /// One, and where what its tasks tell comes.
+    fn new(limits: Limits, order: ReportOrder, log: slog::Logger) -> (Hub, mpsc::Receiver<Event>) {
+        let (events, told) = mpsc::channel(limits.events);
+        let hub = Hub {
+            events,
+            conns: Rc::new(RefCell::new(BTreeMap::new())),
+            // Enough for what a peer sends at full speed between two reads.
+            waste: Rc::new(RefCell::new(vec![0; 1 << 16])),
+            last_id: Rc::new(Cell::new(0)),
+            peers: Rc::new(RefCell::new(BTreeMap::new())),
+            tuned: Rc::new(RefCell::new((Rc::new(limits), order))),
+            clock: Clock::anchored(),
+            log,
+        };
+        (hub, told)
+    }
+
     fn limits(&self) -> Rc<Limits> {
         self.tuned.borrow().0.clone()
     }
--- a/relay/src/net/orders/lists.rs
+++ b/relay/src/net/orders/lists.rs
@@ -67,8 +67,8 @@
     }
 }
 
-/// Guards a relay whose watch falls silent: the next one is asked for from the version that was heard last, and the
-/// first is let go only as that one speaks.
+/// Guards a relay whose watch falls silent: the next one is asked for from the version that was heard last,
+/// and the first is let go only as that one speaks.
 #[test]
 fn a_silent_watch_is_opened_anew_beside_itself() {
     play(|_| async {
--- a/relay/src/net/orders/mod.rs
+++ b/relay/src/net/orders/mod.rs
@@ -1,24 +1,20 @@
-//! The tasks alone, on real connections. A test plays the reducer, the client, the backends and discovery, and so
-//! forces each order of two events: what a task is told comes when the test says so, and bytes, ends and resets are
-//! waited for in the system's own queues, while no task runs, before it is let go on.
+//! The tasks alone, on real connections. A test plays the reducer, the client, the backends and discovery,
+//! and so forces each order of two events: what a task is told comes when the test says so, and bytes, ends
+//! and resets are waited for in the system's own queues, while no task runs, before it is let go on.
 mod lists;
 mod passing;
 mod probes;
 mod waiting;
 
 use super::{first_line, Command, Hub};
-use crate::clock::Clock;
 use crate::reducer::Event;
 use hallrelay::types::{Micros, SessId};
 use hallrelay_config::limits::Limits;
 use hallrelay_config::node::{self, Told};
 use socket2::{SockRef, Socket};
-use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::future::Future;
 use std::io::ErrorKind;
 use std::net::Shutdown;
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
@@ -27,6 +23,8 @@
 
 /// How long is waited for what must come.
 const SOON: Duration = Duration::from_secs(10);
+/// A connect's time, where that does not matter.
+const LONG: Micros = 10_000_000;
 const LINE: &str = "OPEN 0000000000000001 0000000000000002 c=nomination,d=2000\r\n";
 
 /// The reducer's end of the tasks.
@@ -49,18 +47,7 @@
     let node = node::parse(text, &Told::default()).expect("the example is sound");
     let mut limits = node.limits;
     tune(&mut limits);
-    let (events, told) = mpsc::channel(limits.events);
-    let hub = Hub {
-        events,
-        conns: Rc::new(RefCell::new(BTreeMap::new())),
-        waste: Rc::new(RefCell::new(vec![0; 1 << 16])),
-        last_id: Rc::new(Cell::new(0)),
-        peers: Rc::new(RefCell::new(BTreeMap::new())),
-        tuned: Rc::new(RefCell::new((Rc::new(limits), node.site.report))),
-        clock: Clock::anchored(),
-        log: slog::Logger::root(slog::Discard, slog::o!()),
-    };
-    (hub, told)
+    Hub::new(limits, node.site.report, slog::Logger::root(slog::Discard, slog::o!()))
 }
 
 async fn bound() -> TcpListener {
@@ -223,6 +210,18 @@
     }
 }
 
+impl Play {
+    /// A session whose first dial's line has come: its number, its client and its backend.
+    async fn dialled(&mut self) -> (SessId, Peer, Peer) {
+        let (backend, client) = (bound().await, self.client_with(LINE).await);
+        let conn = self.opened().await;
+        self.dials(conn, 0, &backend, LONG);
+        let mut server = taken(&backend).await;
+        assert!(server.hears().await.starts_with("OPEN "));
+        (conn, client, server)
+    }
+}
+
 /// A backend that takes the next connection.
 async fn taken(listener: &TcpListener) -> Peer {
     Peer::new(soon("a dial", listener.accept()).await.expect("it came").0, None)
--- a/relay/src/net/orders/passing.rs
+++ b/relay/src/net/orders/passing.rs
@@ -1,5 +1,5 @@
 //! An open session: both its ends and the reducer's word, in each order in which two of them can meet.
-use super::{bound, play, taken, Command, Lies, Peer, Play, LINE};
+use super::{play, Command, Lies, Peer, Play};
 use crate::reducer::Event;
 use hallrelay::types::{DialEnd, SessId};
 
@@ -7,11 +7,7 @@
 
 /// A session that stands: its number, its client and its backend.
 async fn open(play: &mut Play) -> (SessId, Peer, Peer) {
-    let (backend, mut client) = (bound().await, play.client_with(LINE).await);
-    let conn = play.opened().await;
-    play.dials(conn, 0, &backend, 10_000_000);
-    let mut server = taken(&backend).await;
-    server.hears().await;
+    let (conn, mut client, mut server) = play.dialled().await;
     server.says("UP r1\r\n").await;
     assert!(matches!(play.event().await, Event::Up { .. }));
     play.says(conn, Command::Pass);
@@ -31,8 +27,8 @@
     });
 }
 
-/// It is told to move as its backend has ended it: its last word is out, and its end goes on politely, till the
-/// client has closed too.
+/// It is told to move as its backend has ended it: its last word is out, and its end goes on politely, till
+/// the client has closed too.
 #[test]
 fn a_move_that_crosses_the_end_cuts_nobody_off() {
     play(|mut play| async move {
@@ -64,7 +60,8 @@
     });
 }
 
-/// The client's line and its end lie there at once, beside a line of the backend's: what it said goes on, whole.
+/// The client's line and its end lie there at once, beside a line of the backend's: what it said goes on,
+/// whole.
 #[test]
 fn a_last_line_goes_on_before_the_end() {
     for _ in 0..PLAYS {
@@ -89,7 +86,8 @@
     }
 }
 
-/// The backend's last word and its end lie there as the silence of a message counts: it has ended, and was not silent.
+/// The backend's last word and its end lie there as the silence of a message counts: it has ended, and was
+/// not silent.
 #[test]
 fn what_lies_there_is_read_before_a_silence_counts() {
     for _ in 0..PLAYS {
@@ -115,7 +113,8 @@
     }
 }
 
-/// A client that takes nothing for a moment while its session is moved hears its lines, and the word behind them.
+/// A client that takes nothing for a moment while its session is moved hears its lines, and the word behind
+/// them.
 #[test]
 fn a_move_goes_behind_the_lines_that_wait() {
     play(|mut play| async move {
--- a/relay/src/net/orders/probes.rs
+++ b/relay/src/net/orders/probes.rs
@@ -5,8 +5,8 @@
 use hallrelay::types::DialEnd;
 use tokio::sync::mpsc;
 
-/// The backend ends a kept connection just as it is asked there, or has ended it before the runtime looked: it is
-/// asked anew on another one, and has not failed. One that ends that as well has.
+/// The backend ends a kept connection just as it is asked there, or has ended it before the runtime looked:
+/// it is asked anew on another one, and has not failed. One that ends that as well has.
 #[test]
 fn a_connection_closed_as_it_idled_is_no_fault() {
     for read_first in [true, false] {
--- a/relay/src/net/orders/waiting.rs
+++ b/relay/src/net/orders/waiting.rs
@@ -1,5 +1,6 @@
-//! A session that waits: its client, its dial and the reducer's word, in each order in which two of them can meet.
-use super::{bound, play, taken, untouched, Command, Lies, Peer, LINE};
+//! A session that waits: its client, its dial and the reducer's word, in each order in which two of them can
+//! meet.
+use super::{bound, play, taken, untouched, Command, Lies, Peer, LINE, LONG};
 use crate::reducer::Event;
 use hallrelay::types::DialEnd;
 use std::time::Duration;
@@ -7,17 +8,12 @@
 
 /// How often orders are played that the runtime used to draw by chance.
 const PLAYS: usize = 30;
-const LONG: u64 = 10_000_000;
 
 /// The session is over for the reducer as its backend's `UP` is read: what waits is its answer.
 #[test]
 fn an_answer_that_crosses_up_is_said() {
     play(|mut play| async move {
-        let (backend, mut client) = (bound().await, play.client_with(LINE).await);
-        let conn = play.opened().await;
-        play.dials(conn, 0, &backend, LONG);
-        let mut server = taken(&backend).await;
-        assert!(server.hears().await.starts_with("OPEN "));
+        let (conn, mut client, mut server) = play.dialled().await;
         server.says("UP r1\r\n").await;
         assert!(matches!(play.event().await, Event::Up { dial: 0, .. }));
         play.answers(conn, "FAIL\r\n");
@@ -26,16 +22,13 @@
     });
 }
 
-/// The same where the order to give up and `UP` lie there at once: one answer goes out, and it is the reducer's.
+/// The same where the order to give up and `UP` lie there at once: one answer goes out, and it is the
+/// reducer's.
 #[test]
 fn an_answer_beside_up_is_said_once() {
     for _ in 0..PLAYS {
         play(|mut play| async move {
-            let (backend, mut client) = (bound().await, play.client_with(LINE).await);
-            let conn = play.opened().await;
-            play.dials(conn, 0, &backend, LONG);
-            let mut server = taken(&backend).await;
-            server.hears().await;
+            let (conn, mut client, mut server) = play.dialled().await;
             server.says("UP r1\r\n").await;
             play.answers(conn, "FAIL\r\n");
             assert_eq!(client.hears().await, "FAIL\r\n");
@@ -63,11 +56,7 @@
 #[test]
 fn words_from_before_it_was_a_session_end_no_dial() {
     play(|mut play| async move {
-        let (backend, mut client) = (bound().await, play.client_with(LINE).await);
-        let conn = play.opened().await;
-        play.dials(conn, 0, &backend, LONG);
-        let mut server = taken(&backend).await;
-        server.hears().await;
+        let (conn, mut client, mut server) = play.dialled().await;
         for late in [Command::Shed, Command::Pong(b"PONG\r\n")] {
             play.says(conn, late);
         }
@@ -80,8 +69,8 @@
     });
 }
 
-/// One that asks more often than its task has places for answers, and then sends what is no line of the protocol:
-/// each `PING` is answered, and so is the rest, or it would hold its place for ever.
+/// One that asks more often than its task has places for answers, and then sends what is no line of the
+/// protocol: each `PING` is answered, and so is the rest, or it would hold its place for ever.
 #[test]
 fn an_answer_finds_a_place_behind_any_number_of_pings() {
     const PINGS: usize = 100;
@@ -134,8 +123,8 @@
     }
 }
 
-/// Its client has left, and the runtime has not looked by then, as a dial comes that was decided before: nothing is
-/// sent on. Who only ended its sending still hears the answer.
+/// Its client has left, and the runtime has not looked by then, as a dial comes that was decided before:
+/// nothing is sent on. Who only ended its sending still hears the answer.
 #[test]
 fn who_left_before_a_dial_is_not_sent_on() {
     for how in [Lies::End, Lies::Reset] {
@@ -260,8 +249,8 @@
     }
 }
 
-/// A standstill between the decision and the dial, and between the connect and the first byte: what was decided then
-/// is not begun, and is no fault of the backend's.
+/// A standstill between the decision and the dial, and between the connect and the first byte: what was
+/// decided then is not begun, and is no fault of the backend's.
 #[test]
 fn a_dial_of_long_ago_is_not_begun() {
     play(|mut play| async move {
--- a/relay/src/net/pass.rs
+++ b/relay/src/net/pass.rs
@@ -216,9 +216,9 @@
         let wake_at = clock.at(wake.unwrap_or_default());
         tokio::select! {
             biased;
-            // Commands are few, and a busy session would hold them up; then what has come, the backend's first,
-            // since its end is known by it; then what is to go; at last the time, by which all that lay there
-            // unread was read.
+            // Commands are few, and a busy session would hold them up; then what has come, the backend's
+            // first, since its end is known by it; then what is to go; at last the time, by which all that
+            // lay there unread was read.
             command = commands.recv() => match command {
                 Some(Command::Move) => return Over::Moved,
                 Some(Command::PassOn(peer, session)) => return Over::Passed(peer, session),
--- a/relay/src/net/probe.rs
+++ b/relay/src/net/probe.rs
@@ -28,8 +28,8 @@
         let Some(addr) = next else { return };
         let usable = kept.take().filter(|(at, stream, _)| *at == addr && idle(stream));
         let one = async {
-            // Guards a backend that closes what idles: one that ends its connection just as it is asked there has
-            // not failed. It is asked anew on a new one, within the same time.
+            // Guards a backend that closes what idles: one that ends its connection just as it is asked there
+            // has not failed. It is asked anew on a new one, within the same time.
             if let Some((_, stream, mut buffer)) = usable {
                 match ask(&stream, &mut buffer, &hub).await {
                     Err((DialEnd::Reset, _)) => {}
--- a/relay/src/net/read.rs
+++ b/relay/src/net/read.rs
@@ -1,4 +1,5 @@
-//! Reading a connection: its next line, what lies on it by now, and how long ago the system saw its last bytes.
+//! Reading a connection: its next line, what lies on it by now, and how long ago the system saw its last
+//! bytes.
 use super::end;
 use crate::buffer::Buffer;
 use crate::lines;
@@ -22,9 +23,9 @@
     Ended,
 }
 
-/// What a client does that is to wait, as the system knows it by now. The runtime learns of an end with its next
-/// look at all sockets, which may be after a dial that it was to prevent. A byte that came is lost: whoever sends
-/// one is not served.
+/// What a client does that is to wait, as the system knows it by now. The runtime learns of an end with its
+/// next look at all sockets, which may be after a dial that it was to prevent. A byte that came is lost:
+/// whoever sends one is not served.
 pub fn now(stream: &TcpStream) -> State {
     match (&*SockRef::from(stream)).read(&mut [0]) {
         Ok(1..) => State::More,
--- a/relay/src/net/serve.rs
+++ b/relay/src/net/serve.rs
@@ -1,13 +1,12 @@
 //! Runs the relay: events go to the reducer in order of arrival, its effects to the tasks.
 use super::{accept, discovery, fleet, handover, operator, peers, probe, stop, store, Command, Hub};
-use crate::clock::{span, Clock};
+use crate::clock::span;
 use crate::lines;
 use crate::reducer::{Alarm, Call, Effect, Event, Reducer, Reply};
 use hallrelay::types::{Micros, ServerId, SessId};
 use hallrelay_config::node::Node;
 use hallrelay_fleet::Effect as Told;
 use hallrelay_store::writer::Health;
-use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -56,19 +55,8 @@
     let signals = stop::Signals::caught()?;
     stop::open();
     let limits = node.limits;
-    let (events, mut arrived) = mpsc::channel(limits.events);
-    let clock = Clock::anchored();
-    let hub = Hub {
-        events,
-        conns: Rc::new(RefCell::new(BTreeMap::new())),
-        // Enough for what a peer sends at full speed between two reads.
-        waste: Rc::new(RefCell::new(vec![0; 1 << 16])),
-        last_id: Rc::new(Cell::new(0)),
-        peers: Rc::new(RefCell::new(BTreeMap::new())),
-        tuned: Rc::new(RefCell::new((Rc::new(limits), node.site.report))),
-        clock,
-        log: log.clone(),
-    };
+    let (hub, mut arrived) = Hub::new(limits, node.site.report, log.clone());
+    let clock = hub.clock;
     // A wave of clients that return at once waits here, and not for its own next try.
     const BACKLOG: u32 = 1024;
     // Only where operators run it: without a second address nobody could tell when a new process is ready.
@@ -83,8 +71,8 @@
     let listener = Rc::new(listener);
     let (to_calls, mut calls) = mpsc::channel(limits.callers);
     if let Some(place) = node.operator {
-        // Guards a caller that comes behind a crowd: where the queue is full its first packet is dropped, and the
-        // next one comes a second later.
+        // Guards a caller that comes behind a crowd: where the queue is full its first packet is dropped, and
+        // the next one comes a second later.
         let listener = listen(place, BACKLOG)?;
         tokio::task::spawn_local(operator::run(listener, to_calls, hub.clone()));
     }
--- a/relay/src/net/stop.rs
+++ b/relay/src/net/stop.rs
@@ -38,8 +38,8 @@
     }
 }
 
-/// Keeps signals waiting till they are caught. Guards the first milliseconds of a start, in which a reload would
-/// end the program.
+/// Keeps signals waiting till they are caught. Guards the first milliseconds of a start, in which a reload
+/// would end the program.
 pub fn hold() {
     mask(libc::SIG_BLOCK);
 }
--- a/relay/src/reducer/duty.rs
+++ b/relay/src/reducer/duty.rs
@@ -1,5 +1,6 @@
 //! Whether this process serves, drains or stops: one table for all that is told to it, by operators or
 //! signals. What a drain or a stop does to sessions stands here too.
+use super::sessions::owed;
 use super::{note, Alarm, Call, Effect, Reducer, Reply, Stage};
 use hallrelay::types::{Micros, SessId};
 use hallrelay_config::limits::Limits;
@@ -225,8 +226,9 @@
             if self.duty == Leaving {
                 self.unwatch(out);
             }
-            // Last lines go out before it leaves; who is no session is not waited for much longer than those. Guards
-            // clients half way through their first line: they are told to come again, and have a moment to hear it.
+            // Last lines go out before it leaves; who is no session is not waited for much longer than those.
+            // Guards clients half way through their first line: they are told to come again, and have a
+            // moment to hear it.
             let left = self.aside.is_empty() || since >= limits.stop_end + TICK;
             if since >= limits.stop_end {
                 out.extend(self.aside.drain(..).map(|(conn, _)| Effect::Shed { conn }));
@@ -260,11 +262,7 @@
         let left = self.sessions.iter().filter(|(_, s)| s.stage.waits());
         let left: Vec<(SessId, u32)> = left.map(|(id, s)| (*id, s.dials)).collect();
         for (sess, dials) in left {
-            let answer = match dials {
-                0 => Effect::Refuse { sess, retry_after: 0 },
-                _ => Effect::TearDown { sess },
-            };
-            self.give_up(sess, answer, out);
+            self.give_up(sess, owed(sess, dials), out);
         }
     }
 }
--- a/relay/src/reducer/servers.rs
+++ b/relay/src/reducer/servers.rs
@@ -31,7 +31,8 @@
         let mut instances = list.instances;
         if !list.odd.is_empty() {
             note(format!("{} entries of the list can't be read", list.odd.len()), out);
-            // Whatever such an entry says, nothing new goes where it may say to leave; a whole list has done so.
+            // Whatever such an entry says, nothing new goes where it may say to leave; a whole list has done
+            // so.
             let held = list.odd.iter().flatten().filter_map(|id| self.servers.get(self.ids.get(id)?));
             let there = held.map(|v| &v.told).filter(|told| told.phase == Phase::Ready);
             instances.extend(there.map(|told| Instance { phase: Phase::Draining, ..told.clone() }));
@@ -90,7 +91,8 @@
     }
 }
 
-/// A name in a number, the same at every relay, since relays rank servers by it alike without a word (FNV-1a).
+/// A name in a number, the same at every relay, since relays rank servers by it alike without a word
+/// (FNV-1a).
 pub(super) fn server_id(name: &str) -> ServerId {
     name.bytes().fold(0x811c_9dc5, |hash, b| (hash ^ u32::from(b)).wrapping_mul(0x0100_0193))
 }
--- a/relay/src/reducer/sessions.rs
+++ b/relay/src/reducer/sessions.rs
@@ -4,6 +4,14 @@
 use hallrelay::types::{Asked, DialEnd, Input, Micros, Report, SessId};
 use std::rc::Rc;
 
+/// The program's own answer after so many dials: a refusal where nothing was sent, else a failure.
+pub(super) fn owed(sess: SessId, dials: u32) -> Effect {
+    match dials {
+        0 => Effect::Refuse { sess, retry_after: 0 },
+        _ => Effect::TearDown { sess },
+    }
+}
+
 impl Reducer {
     pub(super) fn current(&self, sess: SessId, dial: u32) -> bool {
         self.sessions.get(&sess).is_some_and(|s| s.stage == Stage::Dial && s.dials == dial + 1)
@@ -47,14 +55,12 @@
         }
     }
 
-    /// Its client has ended its sending before it was answered. It may have left, so nothing is sent on for it; it
-    /// may read on, so the answer that it is owed goes out: a refusal where nothing was sent, else a failure.
+    /// Its client has ended its sending before it was answered. It may have left, so nothing is sent on for
+    /// it; it may read on, so the answer that it is owed goes out: a refusal where nothing was sent, else a
+    /// failure.
     pub(super) fn departed(&mut self, sess: SessId, out: &mut Vec<Effect>) {
         let Some(s) = self.sessions.get(&sess) else { return };
-        out.push(match s.dials {
-            0 => Effect::Refuse { sess, retry_after: 0 },
-            _ => Effect::TearDown { sess },
-        });
+        out.push(owed(sess, s.dials));
         self.left(sess, out);
     }
 
@@ -121,11 +127,13 @@
         }
     }
 
-    /// The final answer, or none where the client's time was up long ago: rule 1, for a relay that stood still.
+    /// The final answer, or none where the client's time was up long ago: rule 1, for a relay that stood
+    /// still.
     pub(super) fn answer(&mut self, sess: SessId, answer: Effect, out: &mut Vec<Effect>) {
         let Some(s) = self.over(sess) else { return };
         let figures = self.figures.of_listener(&s.listener);
-        // Up to then a client takes an answer still, though it earns nothing; no answer would lose the session.
+        // Up to then a client takes an answer still, though it earns nothing; no answer would lose the
+        // session.
         let late = self.now > s.due + self.node.limits.answer_late;
         match answer {
             Effect::Refuse { .. } if !late => figures.dropped += 1,
--- a/relay/src/reducer/watch.rs
+++ b/relay/src/reducer/watch.rs
@@ -70,7 +70,8 @@
         if node.site == self.node.site || self.node.tune(node.site.clone()).is_err() {
             return;
         }
-        // Guards a stop that is under way: whoever will end this process counts from what held as it was told to stop.
+        // Guards a stop that is under way: whoever will end this process counts from what held as it was told
+        // to stop.
         if self.stops() {
             self.node.limits.stop_no_later(&before);
         }
--- a/relay/src/values.rs
+++ b/relay/src/values.rs
@@ -31,8 +31,8 @@
     /// The next part; none where it is not whole yet.
     ///
     /// # Errors
-    /// What stands between values is no white space, or a value has more bytes than `most`: with that the stream
-    /// means nothing any more.
+    /// What stands between values is no white space, or a value has more bytes than `most`: with that the
+    /// stream means nothing any more.
     pub fn next(&mut self, most: usize) -> Result<Option<Part>, String> {
         while let Some(&byte) = self.bytes.get(self.seen) {
             self.seen += 1;
--- a/relay/tests/common/agreed.rs
+++ b/relay/tests/common/agreed.rs
@@ -1,4 +1,5 @@
 //! Processes that agree on who may be out, before the same backends.
+use super::discovery::instance;
 use super::{free, until, Counted, Relay, Site};
 use serde_json::{json, Value};
 use std::net::SocketAddr;
@@ -24,7 +25,7 @@
         let peers: Vec<String> = places.iter().map(ToString::to_string).collect();
         let voters: Vec<String> = (0..voters).map(|i| format!("r{i}")).collect();
         let backends: Vec<Counted> = (0..backends).map(|_| Counted::begin()).collect();
-        let known = |(i, b): (usize, &Counted)| json!({"instanceId": format!("b-{i}"), "hostPort": b.place.to_string(), "lifecycle": "up"});
+        let known = |(i, b): (usize, &Counted)| instance(&format!("b-{i}"), b, "up", 0);
         let known: Vec<Value> = backends.iter().enumerate().map(known).collect();
         let site = |(i, place): (usize, &SocketAddr)| {
             let mut site = Site::new(&format!("grants-{name}-{i}"));
--- a/relay/tests/common/discovery.rs
+++ b/relay/tests/common/discovery.rs
@@ -79,5 +79,6 @@
 }
 
 pub fn instance(id: &str, at: &Counted, lifecycle: &str, started_ms: u64) -> Value {
-    json!({"instanceId": id, "hostPort": at.place.to_string(), "lifecycle": lifecycle, "startedAtMs": started_ms})
+    let place = at.place.to_string();
+    json!({"instanceId": id, "hostPort": place, "lifecycle": lifecycle, "startedAtMs": started_ms})
 }
--- a/relay/tests/common/mod.rs
+++ b/relay/tests/common/mod.rs
@@ -158,16 +158,21 @@
     (status, answer.to_string())
 }
 
-pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+pub fn until(what: &str, holds: impl FnMut() -> bool) {
+    within(SOON, what, holds);
+}
+
+pub fn within(time: Duration, what: &str, mut holds: impl FnMut() -> bool) {
     let started = Instant::now();
     while !holds() {
-        assert!(started.elapsed() < SOON, "waited in vain: {what}");
+        assert!(started.elapsed() < time, "waited in vain: {what}");
         std::thread::sleep(Duration::from_millis(20));
     }
 }
 
-/// Held while a program is begun, and while a port is found. Guards a port that was let go: a child that another
-/// thread begins just then holds the socket too, till it runs its own program, and the address is in use still.
+/// Held while a program is begun, and while a port is found. Guards a port that was let go: a child that
+/// another thread begins just then holds the socket too, till it runs its own program, and the address is in
+/// use still.
 static FORK: Mutex<()> = Mutex::new(());
 
 /// Begins a program.
--- a/relay/tests/dials.rs
+++ b/relay/tests/dials.rs
@@ -46,8 +46,8 @@
     line
 }
 
-/// A referenced session may have run at one backend, and its next dial's connect comes up only after its window: it
-/// is not sent on there, and its client is answered.
+/// A referenced session may have run at one backend, and its next dial's connect comes up only after its
+/// window: it is not sent on there, and its client is answered.
 #[test]
 fn a_referenced_session_is_not_sent_on_after_its_window() {
     let (sound, slow) = (bound(), narrow());
--- a/relay/tests/left.rs
+++ b/relay/tests/left.rs
@@ -1,5 +1,5 @@
-//! Clients that leave while they wait, at a relay that stands still again and again: how many of their sessions were
-//! sent on after they had left, and how much later.
+//! Clients that leave while they wait, at a relay that stands still again and again: how many of their
+//! sessions were sent on after they had left, and how much later.
 mod common;
 
 use common::{bound, Client, Site};
--- a/relay/tests/power.rs
+++ b/relay/tests/power.rs
@@ -1,6 +1,6 @@
-//! The whole fleet loses power, twice: relays killed outright together, the list service dark, one store damaged, one
-//! relay's links cut, all back one after another and before the first are done. Verdict by what reaches a backend that
-//! all were told to leave.
+//! The whole fleet loses power, twice: relays killed outright together, the list service dark, one store
+//! damaged, one relay's links cut, all back one after another and before the first are done. Verdict by what
+//! reaches a backend that all were told to leave.
 mod common;
 
 use common::discovery::{instance, Discovery};
--- a/relay/tests/recovery.rs
+++ b/relay/tests/recovery.rs
@@ -52,10 +52,8 @@
     relay.child.wait().expect("it ends");
 }
 
-/// Guards rule 3: the configuration's list is from before the drain, and nobody is there to tell of it again.
-#[test]
-fn a_drain_told_before_a_kill_holds_with_the_list_service_dark() {
-    let mut f = fixture("drain");
+/// A relay is told that one server drains, keeps it, and is killed; nobody tells the list from then on.
+fn drain_kept(f: &mut Fixture) {
     let relay = f.site.start();
     relay.until_ready();
     let draining =
@@ -64,6 +62,13 @@
     until("it is kept", || kept(&f.state, "\"draining\""));
     killed(relay);
     f.discovery.goes_dark();
+}
+
+/// Guards rule 3: the configuration's list is from before the drain, and nobody is there to tell of it again.
+#[test]
+fn a_drain_told_before_a_kill_holds_with_the_list_service_dark() {
+    let mut f = fixture("drain");
+    drain_kept(&mut f);
     let before = f.servers.each_ref().map(Counted::opened);
     let relay = f.site.start();
     relay.until_ready();
@@ -245,22 +250,15 @@
     killed(old);
 }
 
-/// A store that has grown to a gigabyte, and a disk that stands still: a start waits for neither beyond its time, and
-/// what stands before the growth holds.
+/// A store that has grown to a gigabyte, and a disk that stands still: a start waits for neither beyond its
+/// time, and what stands before the growth holds.
 #[test]
 fn a_huge_store_and_a_disk_that_stands_still_hold_up_nobody() {
     const GIGABYTE: u64 = 1 << 30;
     /// What a start may wait for the store, and what a busy machine adds.
     const WAIT: Duration = Duration::from_millis(2_000 + 1_500);
     let mut f = fixture("huge");
-    let relay = f.site.start();
-    relay.until_ready();
-    let draining =
-        vec![instance("s-0", &f.servers[0], "draining", 0), instance("s-1", &f.servers[1], "up", 0)];
-    f.discovery.tell(draining);
-    until("it is kept", || kept(&f.state, "\"draining\""));
-    killed(relay);
-    f.discovery.goes_dark();
+    drain_kept(&mut f);
     let log = f.state.join("log");
     let file = std::fs::OpenOptions::new().write(true).open(&log).expect("a log");
     file.set_len(GIGABYTE).expect("it grows");
--- a/relay/tests/stops.rs
+++ b/relay/tests/stops.rs
@@ -1,6 +1,6 @@
-//! Orders of two things that meet, forced on the program itself: it is stopped by SIGSTOP while bytes, ends and
-//! signals queue up, and goes on with all of them ready at once. And its first milliseconds, held by a pipe in place
-//! of its configuration.
+//! Orders of two things that meet, forced on the program itself: it is stopped by SIGSTOP while bytes, ends
+//! and signals queue up, and goes on with all of them ready at once. And its first milliseconds, held by a
+//! pipe in place of its configuration.
 mod common;
 
 use common::{bound, until, Client, Counted, Miss, Relay, Site};
@@ -10,7 +10,8 @@
 use std::process::Command;
 use std::time::{Duration, Instant};
 
-/// What may end the program after SIGTERM comes no sooner than the longest dial timeout, 3 s at most, and this.
+/// What may end the program after SIGTERM comes no sooner than the longest dial timeout, 3 s at most, and
+/// this.
 const KILL: Duration = Duration::from_millis(700);
 
 /// A relay before one backend that the test plays.
@@ -50,8 +51,8 @@
     (lines, line)
 }
 
-/// The client's time passes while the relay stands still, with its backend's answer unread: it gets one answer still,
-/// and the backend's session is given up.
+/// The client's time passes while the relay stands still, with its backend's answer unread: it gets one
+/// answer still, and the backend's session is given up.
 #[test]
 fn an_answer_is_owed_after_a_standstill() {
     let backend = bound();
@@ -103,10 +104,10 @@
     let backend = Counted::begin();
     let silent = bound();
     let mut site = Site::new(name);
-    let place = |at: SocketAddr| at.to_string();
-    site.text["known"]["instances"] = json!([
-        {"instanceId": "s-0", "hostPort": place(backend.place), "lifecycle": "up"},
-        {"instanceId": "s-1", "hostPort": place(silent.local_addr().expect("its address")), "lifecycle": "up"}]);
+    let instance =
+        |id: &str, at: SocketAddr| json!({"instanceId": id, "hostPort": at.to_string(), "lifecycle": "up"});
+    let quiet = silent.local_addr().expect("its address");
+    site.text["known"]["instances"] = json!([instance("s-0", backend.place), instance("s-1", quiet)]);
     for listener in site.text["settings"]["Listeners"].as_array_mut().expect("listeners") {
         listener["DialTimeout"] = json!(dial_timeout);
     }
@@ -171,7 +172,8 @@
     stopped_with("reloaded", 900, &["HUP", "TERM", "TERM", "INT"]);
 }
 
-/// A pipe in place of the configuration holds the program in its first milliseconds, before it has caught signals.
+/// A pipe in place of the configuration holds the program in its first milliseconds, before it has caught
+/// signals.
 fn begun(name: &str, signal: &str) -> (Site, Relay) {
     let mut site = Site::new(name);
     let relay = site.start();
@@ -185,7 +187,8 @@
     let child = common::spawned(&mut command);
     let operator = site.text["operator"].as_str().and_then(|at| at.parse().ok()).expect("an address");
     let relay = Relay { child, path: pipe.clone(), operator };
-    // Opens only as the program reads there: its own start is behind it by then, and signals are not caught yet.
+    // Opens only as the program reads there: its own start is behind it by then, and signals are not caught
+    // yet.
     let mut write = std::fs::OpenOptions::new().write(true).open(&pipe).expect("a pipe");
     relay.signal(signal);
     // As it is read again it is a file.
--- a/relay/tests/wide.rs
+++ b/relay/tests/wide.rs
@@ -1,5 +1,6 @@
-//! Sixteen processes, five of which vote, before 48 backends that are released under load, some at a time, while the
-//! leader is killed and a voter stalls. How many are out is counted from outside, by what operators were told.
+//! Sixteen processes, five of which vote, before 48 backends that are released under load, some at a time,
+//! while the leader is killed and a voter stalls. How many are out is counted from outside, by what operators
+//! were told.
 mod common;
 
 use common::agreed::Fleet;
@@ -20,12 +21,8 @@
 /// For all to be seen, and for one turn, on a machine that does much else.
 const LONG: Duration = Duration::from_secs(60);
 
-fn until(what: &str, mut holds: impl FnMut() -> bool) {
-    let started = Instant::now();
-    while !holds() {
-        assert!(started.elapsed() < LONG, "waited in vain: {what}");
-        std::thread::sleep(Duration::from_millis(50));
-    }
+fn until(what: &str, holds: impl FnMut() -> bool) {
+    common::within(LONG, what, holds);
 }
 
 /// What is out now, and the most that ever was.
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -1,11 +1,13 @@
 //! What relay scenarios are played against.
 //! `Program` is the reducer without sockets. Backends are named as in the list; a site line may say
 //! `known=NAME,NAME` for the list that the relay starts with, `after` that another process has its place,
-//! `told` where the list comes unasked, `timeout=MS` for all dial timeouts, `probes`, `keeps` where what it must know is kept.
+//! `told` where the list comes unasked, `timeout=MS` for all dial timeouts, `probes`, `keeps` where what it
+//! must know is kept.
 //! Inputs, each with `stalled` behind it where no alarm could go off before it:
 //!   `came FIRST..LAST`, `part FIRST..LAST`, `ping CONN`, `odd CONN`,
 //!   `ask SESS LISTENER [wait=MS] [at=NAME] [mark=ID]`,
-//!   `gone SESS`, `departed SESS`, `up SESS DIAL`, `fell SESS DIAL HOW`, `ended SESS HOW`, `took SESS MS`, `load SESS X`,
+//!   `gone SESS`, `departed SESS`, `up SESS DIAL`, `fell SESS DIAL HOW`, `ended SESS HOW`, `took SESS MS`,
+//!   `load SESS X`,
 //!   `written`, `unfit`, `peer NUMBER hello|ready|yours|left`, `passed SESS`,
 //!   `stays SESS`, `inherits SESS LISTENER SERVER`, `call NUMBER ready|figures|drain|activate`,
 //!   `list full|changes VERSION NAME[:draining|:gone] ..`,
