Returning herds keep off cold servers, and stops of many relays are spread

Each relay's turn that nobody used stays open (cold_open, src/logic.rs), so a herd finds one at each of 300 relays; and a tenth of the relays moved all in 0.2 s (stop_from). Ruled out: overbooking alone (a relay with one session uses one turn, whatever its pace). Change: a returning session goes to a cold server with the chance of what these bear over what came back; stops are spread.

--- a/config/src/facts.rs
+++ b/config/src/facts.rs
@@ -103,6 +103,8 @@
         cold: rules.key("Cold")?.micros()?,
         cold_from: rules.key("ColdFrom")?.num()?,
         fall_multiple: rules.key("FallMultiple")?.num()?,
+        // As the protocol's page has it.
+        fall: rules.option("Fall").map_or(Ok(2_000_000), |at| at.micros())?,
         price_crossing: charges.key("CrossZone")?.num()?,
         price_move: charges.key("Moves")?.num()?,
         price_probe: charges.key("Probe")?.num()?,
--- a/config/tests/limits.rs
+++ b/config/tests/limits.rs
@@ -35,6 +35,17 @@
     }
 }
 
+/// The sessions of a tenth of a large fleet, stopped together, must not come to the others as one burst; whom the
+/// only relay moves waits for its next start, so they go late.
+#[test]
+fn a_stop_among_many_relays_takes_all_the_time_there_is() {
+    let of = |relays: u32| limits(|settings| settings["Instances"] = json!(relays));
+    for (relays, wanted) in [(1, 3_000), (2, 3_000), (3, 400), (300, 400)] {
+        let l = of(relays);
+        assert_eq!((l.stop_from, l.stop_by), (wanted * MS, 3_350 * MS), "{relays} relays");
+    }
+}
+
 /// The time for asking is for relays without a watch: one that is open is not doubted before an empty line is
 /// due, and a call has time to be answered, however short it is.
 #[test]
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -79,7 +79,8 @@
 struct Sess {
     asked: Asked,
     rule: Rc<Rule>,
-    salt: u64, // what its pool is ranked by: its group, or chance
+    herd: bool, // too many come back at once for cold servers to take their part
+    salt: u64,  // what its pool is ranked by: its group, or chance
     due: Micros,
     state: State,
     server: ServerId,
@@ -121,6 +122,7 @@
     n: u32,
     net: Ring,
     lost: Ring,    // sessions that left here and have not come again
+    returns: Ring, // sessions that came back from anywhere
     dials: Ring,   // that servers took up, and those throttled
     accepts: Ring, // of these, in time
     /// Piled-up work, in seconds, over which a server is congested.
@@ -247,6 +249,8 @@
         const SPEND: f64 = 0.008;
         let each = (SPEND / self.site.price_probe.max(1e-6)).min(4.0 * POOL as f64);
         let paid = each * if s.asked.returned { 0.5 } else { 1.0 };
+        self.returns.add(self.now, f64::from(s.asked.returned && s.state != Open));
+        s.herd = s.asked.returned && self.herd();
         self.credit = (self.credit + paid).min(8.0 * self.servers.len().max(POOL) as f64);
         self.sessions.insert(sess, s);
     }
@@ -445,7 +449,7 @@
             let hash = mix(s.salt ^ (u64::from(v.entry.server) << 32));
             // Most servers rank too low at their best, and cost no more than that.
             let fits = || !only_turns || self.rare_turn(v, s, g);
-            let may = || self.legal(s, &v.entry) && self.cold_open(v, g) && fits();
+            let may = || self.legal(s, &v.entry) && self.cold_open(v, s, g) && fits();
             if best.takes(&(0, false, crossing, hash, v.entry.server)) && may() {
                 let full = self.load_now(v, g) >= FULL;
                 best.add((self.tier(v, &s.tried), full, crossing, hash, v.entry.server));
@@ -497,8 +501,27 @@
     }
 
     /// Rule 4: whether this relay's part of a cold server's budget has room again.
-    fn cold_open(&self, v: &Server, g: &Gauge) -> bool {
-        self.warmth(v) >= 1.0 || (self.now - v.turn.0) as f64 >= v.turn.1 * self.pause(v, g)
+    fn cold_open(&self, v: &Server, s: &Sess, g: &Gauge) -> bool {
+        let turn = || (self.now - v.turn.0) as f64 >= v.turn.1 * self.pause(v, g);
+        self.warmth(v) >= 1.0 || !s.herd && turn()
+    }
+
+    /// Whether a session that comes back is one too many for the cold servers: who comes back comes with those
+    /// of all relays, and meets the turns that all have left unused. They take no more together than the
+    /// cold servers bear, told by this relay's own count, so each goes there with that chance.
+    fn herd(&mut self) -> bool {
+        // Beside itself, which says nothing of the others; in a burst, or for a while (sums reach a quarter of a
+        // second further in the mean).
+        let beside = |back: Micros| self.returns.sum(self.now, back.saturating_sub(SECOND / 4)) - 1.0;
+        let (fall, while_) = (self.site.fall, 4 * SECOND);
+        let came = beside(fall).max(beside(while_) * fall as f64 / while_ as f64);
+        let all = came * f64::from(self.site.relays);
+        let each = self.site.cold.max(1) as f64 * self.gauge.step;
+        let scale = self.site.fall_multiple * fall as f64 / each;
+        let cold = self.servers.values().filter(|v| v.entry.ready() && self.warmth(v) < 1.0);
+        // What each bears while a fall takes, and one: that is far from what chance may add to it.
+        let bear = cold.map(|v| scale * self.warmth(v) + 1.0).sum::<f64>();
+        bear < all && self.rng.below(1000) as f64 >= bear / all * 1000.0
     }
 
     /// Whether an open turn here counts past the thresholds. Where turns come every second or two these cost
--- a/src/types.rs
+++ b/src/types.rs
@@ -51,6 +51,8 @@
     pub cold: Micros,
     pub cold_from: f64,
     pub fall_multiple: f64,
+    /// How long a cold server bears more than its multiple before it falls over.
+    pub fall: Micros,
     /// Prices, as parts of the whole result: a session across zones, a move and a probe for each session.
     pub price_crossing: f64,
     pub price_move: f64,
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -36,6 +36,7 @@
         cold: 10_000_000,
         cold_from: 0.2,
         fall_multiple: 3.0,
+        fall: 2_000_000,
         ..SiteFacts::default()
     }
 }
