The list is asked for again within 4 s of the call before, so a change is told in 6 s

Cause: list() in src/logic.rs counted up to 5 s from a failed call's end, and a call that hangs is given up after 4 s: 9 s after discovery is back, where a change counts as told after 6 s. Change: waits are 1, 2, 3 s and up to 1 s of chance, counted from when the list was asked for; a call that hung has waited already.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -130,6 +130,7 @@
     gauge: Gauge,
     credit: f64, // probes that are paid for and not yet sent
     watch_fails: u32,
+    watched: Micros, // when the list was last asked for
 }
 
 const PROBE: u32 = 0;
@@ -198,7 +199,10 @@
             Input::Left { sess } => self.play(sess, Settled, out),
             Input::Probed { server, end, report } => self.probed(server, end, report, out),
             Input::Alarm { label: PROBE } => self.beat(out),
-            Input::Alarm { label: WATCH } => out.push(Effect::Watch),
+            Input::Alarm { label: WATCH } => {
+                self.watched = now;
+                out.push(Effect::Watch);
+            }
             Input::Alarm { .. } => self.room(None, out),
             _ => {} // of a dial or a session that is over
         }
@@ -641,9 +645,13 @@
 
     fn list(&mut self, kind: ListKind, entries: Vec<Entry>, out: &mut Vec<Effect>) {
         if kind == ListKind::Broken {
-            // Ask again, more and more slowly, spread over the relays: the list is one service for all.
-            self.watch_fails = (self.watch_fails + 1).min(3);
-            let after = (SECOND << self.watch_fails) / 2 + self.rng.below(SECOND);
+            // Ask again, more and more slowly, spread over the relays: the list is one service for all. What it
+            // has counts as told 6 s after it can be reached: the waits are counted from when it was asked, so
+            // that a call that was given up has waited already, and the longest leaves 2 s for the answer.
+            let (pace, spread) = ([1, 2, 3][self.watch_fails as usize] * SECOND, self.rng.below(SECOND));
+            let took = if self.watch_fails > 0 { self.now - self.watched } else { 0 };
+            let after = (pace + spread).saturating_sub(took).max(spread / 2);
+            self.watch_fails = (self.watch_fails + 1).min(2);
             return out.push(Effect::Alarm { after, label: WATCH });
         }
         self.watch_fails = 0;
