Herds keep off cold servers only where unused turns are too many

A handful of relays can't leave more turns unused than chance may add, and was held back beside its turns (herd, src/logic.rs). Change: the rule acts where the turns of all relays at once exceed N + 2 x root of N + 2.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -521,11 +521,13 @@
         let came = beside(fall).max(beside(while_) * fall as f64 / while_ as f64);
         let all = came * f64::from(self.site.relays);
         let each = self.site.cold.max(1) as f64 * self.gauge.step;
-        let scale = self.site.fall_multiple * fall as f64 / each;
+        let budget = |v: &Server| self.site.fall_multiple * self.warmth(v) * fall as f64 / each;
+        // Where the turns of all relays at once are no more than chance may add, turns alone hold the budget.
+        let few = |n: f64| f64::from(self.site.relays) <= n + 2.0 * n.sqrt() + 2.0;
         let cold = self.servers.values().filter(|v| v.entry.ready() && self.warmth(v) < 1.0);
         // What each bears while a fall takes, and one: that is far from what chance may add to it.
-        let bear = cold.map(|v| scale * self.warmth(v) + 1.0).sum::<f64>();
-        bear < all && self.rng.below(1000) as f64 >= bear / all * 1000.0
+        let bear = cold.map(budget).filter(|&n| !few(n)).map(|n| n + 1.0).sum::<f64>();
+        bear > 0.0 && bear < all && self.rng.below(1000) as f64 >= bear / all * 1000.0
     }
 
     /// Whether an open turn here counts past the thresholds. Where turns come every second or two these cost
