--- a/config/src/limits.rs
+++ b/config/src/limits.rs
@@ -187,8 +187,8 @@
             discovery_doubt: 2_500 * MS,
             // Whom the only relay that is up moves early waits for the next start, and longer with each try.
             // The front goes on sending new connections for 0.2 to 0.4 s.
-            // Where others are up nobody has to wait for one: spread over all the time there is, or the sessions
-            // of a tenth of a large fleet, stopped together, come to the others as one burst.
+            // Where others are up nobody has to wait for one: spread over all the time there is, or the
+            // sessions of a tenth of a large fleet, stopped together, come to the others as one burst.
             stop_from: if site.facts.relays > 2 { 400 * MS } else { patience.max(500 * MS) }
                 .min(kill - 450 * MS),
             // The last moved need time to leave.
--- a/config/tests/limits.rs
+++ b/config/tests/limits.rs
@@ -35,8 +35,8 @@
     }
 }
 
-/// The sessions of a tenth of a large fleet, stopped together, must not come to the others as one burst; whom the
-/// only relay moves waits for its next start, so they go late.
+/// The sessions of a tenth of a large fleet, stopped together, must not come to the others as one burst; whom
+/// the only relay moves waits for its next start, so they go late.
 #[test]
 fn a_stop_among_many_relays_takes_all_the_time_there_is() {
     let of = |relays: u32| limits(|settings| settings["Instances"] = json!(relays));
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -510,15 +510,15 @@
         self.warmth(v) >= 1.0 || !s.herd && turn()
     }
 
-    /// Whether a session that comes back is one too many for the cold servers: who comes back comes with those
-    /// of all relays, and meets the turns that all have left unused. They take no more together than the
+    /// Whether a session that comes back is one too many for the cold servers: it comes with those of all
+    /// relays, and they meet the turns that all have left unused. Together they are to be no more than the
     /// cold servers bear, told by this relay's own count, so each goes there with that chance.
     fn herd(&mut self) -> bool {
-        // Beside itself, which says nothing of the others; in a burst, or for a while (sums reach a quarter of a
-        // second further in the mean).
+        // Beside itself, which says nothing of the others; in a burst, or for a while (sums reach a quarter
+        // of a second further in the mean).
         let beside = |back: Micros| self.returns.sum(self.now, back.saturating_sub(SECOND / 4)) - 1.0;
-        let (fall, while_) = (self.site.fall, 4 * SECOND);
-        let came = beside(fall).max(beside(while_) * fall as f64 / while_ as f64);
+        let (fall, long) = (self.site.fall, 4 * SECOND);
+        let came = beside(fall).max(beside(long) * fall as f64 / long as f64);
         let all = came * f64::from(self.site.relays);
         let each = self.site.cold.max(1) as f64 * self.gauge.step;
         let budget = |v: &Server| self.site.fall_multiple * self.warmth(v) * fall as f64 / each;
@@ -647,9 +647,9 @@
 
     fn list(&mut self, kind: ListKind, entries: Vec<Entry>, out: &mut Vec<Effect>) {
         if kind == ListKind::Broken {
-            // Ask again, more and more slowly, spread over the relays: the list is one service for all. What it
-            // has counts as told 6 s after it can be reached: the waits are counted from when it was asked, so
-            // that a call that was given up has waited already, and the longest leaves 2 s for the answer.
+            // Ask again, more and more slowly, spread over the relays: the list is one service for all. What
+            // it has counts as told 6 s after it can be reached: waits are counted from when it was asked,
+            // so a call that was given up has waited already, and the longest leaves 2 s for the answer.
             let (pace, spread) = ([1, 2, 3][self.watch_fails as usize] * SECOND, self.rng.below(SECOND));
             let took = if self.watch_fails > 0 { self.now - self.watched } else { 0 };
             let after = (pace + spread).saturating_sub(took).max(spread / 2);
