--- a/src/logic.rs
+++ b/src/logic.rs
@@ -520,14 +520,16 @@
         let (fall, long) = (self.site.fall, 4 * SECOND);
         let came = beside(fall).max(beside(long) * fall as f64 / long as f64);
         let all = came * f64::from(self.site.relays);
-        let each = self.site.cold.max(1) as f64 * self.gauge.step;
-        let budget = |v: &Server| self.site.fall_multiple * self.warmth(v) * fall as f64 / each;
+        if all <= 0.0 {
+            return false;
+        }
+        let budget = |v: &Server| fall as f64 * self.bears(v, self.gauge.step);
         // Where the turns of all relays at once are no more than chance may add, turns alone hold the budget.
         let few = |n: f64| f64::from(self.site.relays) <= n + 2.0 * n.sqrt() + 2.0;
         let cold = self.servers.values().filter(|v| v.entry.ready() && self.warmth(v) < 1.0);
         // What each bears while a fall takes, and one: that is far from what chance may add to it.
         let bear = cold.map(budget).filter(|&n| !few(n)).map(|n| n + 1.0).sum::<f64>();
-        bear > 0.0 && bear < all && self.rng.below(1000) as f64 >= bear / all * 1000.0
+        bear > 0.0 && bear < all && !self.rng.hits(bear / all)
     }
 
     /// Whether an open turn here counts past the thresholds. Where turns come every second or two these cost
@@ -545,8 +547,13 @@
         // at three quarters of the least at which one fell, and 11.2 broke it on one of 16.
         let others = f64::from(self.site.relays - 1);
         let overbook = 1.4 + 3.6 * others / (others + 40.0);
-        let each = self.site.cold as f64 * g.step * f64::from(self.site.relays) / overbook;
-        each / (self.site.fall_multiple * self.warmth(v))
+        f64::from(self.site.relays) / overbook / self.bears(v, g.step)
+    }
+
+    /// The sessions a microsecond that a cold server bears of all relays: what it holds when full, taken in
+    /// over a whole warm-up, by its warmth now.
+    fn bears(&self, v: &Server, step: f64) -> f64 {
+        self.site.fall_multiple * self.warmth(v) / (self.site.cold.max(1) as f64 * step)
     }
 
     fn dial(&mut self, sess: SessId, out: &mut Vec<Effect>) {
@@ -621,7 +628,7 @@
         let excess = dials - least - most * sum(&self.accepts);
         let mut faulty = self.servers.values().filter(|v| sum(&v.flow.faults) > 0.0);
         let shared = excess > 0.0 && faulty.nth(1).is_some();
-        let throttled = shared && (self.rng.below(1000) as f64) < excess / (dials + 1.0) * 1000.0;
+        let throttled = shared && self.rng.hits(excess / (dials + 1.0));
         self.dials.add(self.now, f64::from(throttled));
         throttled
     }
@@ -732,7 +739,7 @@
         let mut excess = mine.iter().map(|m| m.1).sum::<f64>() * way / load;
         for (_, frees, sess) in mine {
             // Less than one session is moved by chance, or with many relays nobody would move, or everybody.
-            if excess < frees && self.rng.below(1000) as f64 >= excess / frees * 1000.0 {
+            if excess < frees && !self.rng.hits(excess / frees) {
                 break;
             }
             if shed || self.gain(sess, load, &g) > self.site.price_move + DOUBT {
--- a/src/tools.rs
+++ b/src/tools.rs
@@ -93,6 +93,11 @@
     pub fn below(&mut self, end: u64) -> u64 {
         self.0.rand_range(0..end)
     }
+
+    /// Yes in this part of all cases, to a thousandth; always from 1 on.
+    pub fn hits(&mut self, part: f64) -> bool {
+        (self.below(1000) as f64) < part * 1000.0
+    }
 }
 
 impl Default for Chance {
