Groups keep to their servers across zones, past FULL and among cold ones

Open sessions and (group, server) pairs at 1, 9 and 20 s: 1624 on 151 pairs, 1190 on 415, 985 on 709, of 75 groups, so a group lay on ten servers. Each server that holds any of a group pays for it once (three sessions' load on that site), so the fleet carried 2,100, 2,400 and 3,100 sessions' load: half of what warm servers and nearly all of what cold ones could do went into these payments. Cold servers held one session a group, filled up and dropped: the resets from 20 s on were theirs (eight sessions of eight groups each). The thresholds saw a full fleet, rightly. Cause: Relay::pool ranked a session's servers by the price of a crossing before the group's hash, so each zone's relays chose servers of their own (five zones by three); beyond FULL it went on to servers without the group; past the thresholds any cold server in its turn would do. Change: a group's order is alike in all zones (the crossing stays in the cost), a server is full for it later by what a new one would pay (GROUP x step), and of the cold servers it takes the three that it ranks first. memory and remember, which decide nothing, went to src/logic/memory.rs. Each of the three parts taken out fails a scenario.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -2,6 +2,8 @@
 //! input in order of arrival with the clock of its batch, and carry out the effects it appends, in order. For
 //! these see `types.rs`, for the design `docs/design.md`. Nothing here reads a clock or is shared.
 
+mod memory;
+
 use crate::tools::{mix, Chance, Flow, Least, Ring};
 use crate::types::*;
 use std::collections::BTreeMap;
@@ -214,34 +216,6 @@
         !v.entry.ready() || v.misses > 0 || v.flow.faulty(now, 2.0, 0.25)
     }
 
-    /// What goes on with the process that takes this one's place: the two are one relay, with one budget.
-    pub fn memory(&self, now: Micros) -> (f64, Vec<Memory>) {
-        let one = |(&server, v): (&ServerId, &Server)| {
-            let report = Report { load: Some(v.load), piled: Some(v.piled), held: Some(v.held) };
-            let (report, misses) = (v.heard.map(|then| (now.saturating_sub(then), report)), v.misses);
-            let placed = v.flow.net.sum(now, 8 * SECOND);
-            Memory { server, report, misses, placed, turn: (now.saturating_sub(v.turn.0), v.turn.1) }
-        };
-        (self.gauge.step, self.servers.iter().map(one).collect())
-    }
-
-    fn remember(&mut self, step: f64, servers: Vec<Memory>) {
-        self.gauge.step = step.clamp(0.002, 0.05);
-        for m in servers {
-            let Some(v) = self.servers.get_mut(&m.server) else { continue };
-            let then = |ago| self.now.saturating_sub(ago);
-            // What this process heard or did itself is newer.
-            if let Some((ago, report)) = m.report.filter(|r| v.heard.is_none_or(|t| t < then(r.0))) {
-                v.hear(then(ago), Some(report));
-                v.misses = m.misses;
-            }
-            v.turn = (then(m.turn.0), m.turn.1);
-            v.flow.net.add(self.now, m.placed);
-            self.net.add(self.now, m.placed);
-        }
-        self.gauge.until = self.now;
-    }
-
     fn take(&mut self, sess: SessId, mut s: Sess) {
         s.rule = self.rules[s.asked.listener.min(self.rules.len() - 1)].clone();
         let target = s.rule.listener.handshake_target;
@@ -443,25 +417,39 @@
     }
 
     /// The servers that a session may go to, best first: by tier, then whether they are full or across a
-    /// priced crossing, then by a hash of group and server, which all relays share without a word.
+    /// priced crossing, then by rank. Each server that holds any of a group pays for it (`GROUP`), so a group
+    /// keeps to its ranks, which all relays share: not to its relays' zones, beyond `FULL` by that payment,
+    /// and on few of the servers that warm up, each of which would else pay for one with every session.
     /// Past the thresholds, only those that have just started and have room, where it is this relay's turn:
     /// that is room of its own, which others can't use, and a turn not taken is lost to the fleet.
     fn pool(&self, s: &Sess, g: &Gauge, only_turns: bool) -> Vec<ServerId> {
+        let grouped = s.asked.group != 0;
+        let full_from = FULL + if grouped { GROUP * g.step } else { 0.0 };
+        let cold_pool = if grouped { self.cold_pool(s) } else { vec![] };
         let mut best = Least::new(POOL);
         for v in self.servers.values().filter(|v| v.entry.ready()) {
-            let crossing = v.entry.zone != self.site.zone && self.site.price_crossing > 0.0;
-            let hash = mix(s.salt ^ (u64::from(v.entry.server) << 32));
+            let far = v.entry.zone != self.site.zone && self.site.price_crossing > 0.0 && !grouped;
+            let rank = s.rank(v);
             // Most servers rank too low at their best, and cost no more than that.
             let fits = || !only_turns || self.rare_turn(v, s, g);
-            let may = || self.legal(s, &v.entry) && self.cold_open(v, s, g) && fits();
-            if best.takes(&(0, false, crossing, hash, v.entry.server)) && may() {
-                let full = self.load_now(v, g) >= FULL;
-                best.add((self.tier(v, &s.tried), full, crossing, hash, v.entry.server));
+            let group_fits = || !grouped || self.warmth(v) >= 1.0 || cold_pool.contains(&v.entry.server);
+            let may = || self.legal(s, &v.entry) && self.cold_open(v, s, g) && fits() && group_fits();
+            if best.takes(&(0, false, far, rank, v.entry.server)) && may() {
+                let full = self.load_now(v, g) >= full_from;
+                best.add((self.tier(v, &s.tried), full, far, rank, v.entry.server));
             }
         }
         best.into_iter().map(|b| b.4).collect()
     }
 
+    /// The cold servers that a session's group ranks first.
+    fn cold_pool(&self, s: &Sess) -> Vec<ServerId> {
+        let mut best = Least::new(POOL);
+        let cold = self.servers.values().filter(|v| v.entry.ready() && self.warmth(v) < 1.0);
+        cold.for_each(|v| best.add((s.rank(v), v.entry.server)));
+        best.into_iter().map(|b| b.1).collect()
+    }
+
     /// Rule 2: whether a session may be dialled at a server, after what may have run already.
     fn legal(&self, s: &Sess, at: &Entry) -> bool {
         let Some((since, zone, cell)) = s.ran else { return true };
@@ -766,6 +754,13 @@
     }
 }
 
+impl Sess {
+    /// A server's place in the order of its group, or of its own.
+    fn rank(&self, v: &Server) -> u64 {
+        mix(self.salt ^ (u64::from(v.entry.server) << 32))
+    }
+}
+
 impl Server {
     fn hear(&mut self, now: Micros, report: Option<Report>) {
         if let Some(Report { load: Some(load), piled, held }) = report {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -60,6 +60,7 @@
             "relays" => site.relays = num(value)?,
             "dials" => site.most_dials = num(value)?,
             "slot" => site.slot = num(value)?,
+            "zone" => site.zone = num(value)?,
             "max_open" => site.max_open = num(value)?,
             "retry_after" => site.retry_after = Some(millis(value)?),
             "watch" => site.must_watch = num(value)?,
