--- /dev/null
+++ b/tests/short_days/cold.rs
@@ -0,0 +1,131 @@
+//! Rule 4 over all relays: what twenty of them send to one cold backend together, while it may fall.
+use crate::fleet::{Fleet, MILLISECOND, SECOND};
+use hallrelay::types::*;
+
+const RELAYS: u32 = 20;
+const WARM_BACKENDS: u32 = 8;
+/// The backend that starts cold.
+const COLD: ServerId = 100;
+/// Sessions that fill a backend.
+const CAPACITY: f64 = 50.0;
+/// The load of the warm backends before anything happens.
+const USUAL_LOAD: f64 = 0.5;
+/// When the cold one starts: loads are steady by then.
+const START: Micros = 15 * SECOND;
+const SEEDS: u64 = 20;
+/// Sessions a second that come to each relay: few have one as their turn at the cold backend comes.
+const THIN_TRAFFIC: [f64; 2] = [1.0, 3.0];
+
+fn site() -> SiteFacts {
+    let listener = |utility| Listener {
+        utility,
+        repeat: Repeat::Repeatable,
+        handshake_target: 300 * MILLISECOND,
+        message_target: 60 * MILLISECOND,
+    };
+    SiteFacts {
+        listeners: vec![listener(1.0), listener(5.0)],
+        relays: RELAYS,
+        may_probe: true,
+        most_dials: 4,
+        max_open: 1_000_000,
+        cold: 10 * SECOND,
+        cold_from: 0.2,
+        fall_multiple: 3.0,
+        fall: 2 * SECOND,
+        price_probe: 0.002,
+        ..SiteFacts::default()
+    }
+}
+
+/// The most that came in a fall's time, over what the backend bears then.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Worst {
+    part: f64,
+    came: usize,
+    bears: f64,
+    after: Micros,
+}
+
+impl std::fmt::Display for Worst {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Worst { part, came, bears, after } = self;
+        write!(f, "{came} dials where it bears {bears:.1} ({part:.2} times), {after} us after its start")
+    }
+}
+
+fn worst(fleet: &Fleet) -> Worst {
+    let backend = &fleet.backends[&COLD];
+    let mut worst = Worst::default();
+    let warm = backend.entry.came_up + fleet.site.cold;
+    for &at in backend.dials.iter().filter(|at| **at < warm) {
+        let budget = backend.cold_budget(at, &fleet.site);
+        let bears = budget + 2.0 * budget.sqrt() + 2.0;
+        let came = backend.dials_in_fall_window(at, &fleet.site);
+        let part = came as f64 / bears;
+        if part > worst.part {
+            worst = Worst { part, came, bears, after: at - backend.entry.came_up };
+        }
+    }
+    worst
+}
+
+fn loaded(seed: u64, per_second: f64) -> Fleet {
+    let mut fleet = Fleet::new(site(), seed);
+    let sessions = USUAL_LOAD * CAPACITY * f64::from(WARM_BACKENDS);
+    fleet.session_life = (sessions / (per_second * f64::from(RELAYS)) * SECOND as f64) as Micros;
+    (1..=WARM_BACKENDS).for_each(|server| fleet.add_warm_backend(server, CAPACITY));
+    fleet.tell_whole_list();
+    fleet.schedule_clients(0, START + fleet.site.cold, per_second);
+    fleet
+}
+
+/// A new backend joins as half as many clients again come, for four seconds.
+pub fn joins_under_a_burst(seed: u64, per_second: f64) -> Worst {
+    let mut fleet = loaded(seed, per_second);
+    fleet.schedule_clients(START, START + 4 * SECOND, per_second / 2.0);
+    fleet.run_until(START);
+    fleet.start_cold_backend(COLD, CAPACITY);
+    fleet.run_until(START + fleet.site.cold);
+    worst(&fleet)
+}
+
+/// The clients of one that crashed come again within half a second, as another one has just started.
+pub fn joins_beside_a_crash(seed: u64, per_second: f64) -> Worst {
+    let mut fleet = loaded(seed, per_second);
+    fleet.run_until(START);
+    fleet.start_cold_backend(COLD, CAPACITY);
+    // The relays' first turns there are open by then.
+    fleet.run_until(START + 4 * SECOND);
+    fleet.crash_backend(1, SECOND / 2);
+    fleet.run_until(START + fleet.site.cold);
+    worst(&fleet)
+}
+
+/// Where more came than the backend bears, in words.
+pub fn broken(what: &str, traffic: &[f64], play: impl Fn(u64, f64) -> Worst) -> Vec<String> {
+    let mut broken = Vec::new();
+    for &per_second in traffic {
+        let plays: Vec<(u64, Worst)> = (1..=SEEDS).map(|seed| (seed, play(seed, per_second))).collect();
+        let (seed, most) = plays.iter().max_by(|a, b| a.1.part.total_cmp(&b.1.part)).expect("some plays");
+        let over = plays.iter().filter(|(_, worst)| worst.part > 1.0).count();
+        let line = format!("{what}, {per_second}/s: {over} of {SEEDS} seeds over; seed {seed}: {most}");
+        println!("{line}");
+        broken.extend((over > 0).then_some(line));
+        // Else nothing is tested.
+        assert!(plays.iter().all(|(_, worst)| worst.came > 0), "the cold backend is never dialled");
+    }
+    broken
+}
+
+#[test]
+fn twenty_relays_keep_within_what_a_cold_backend_bears_under_a_burst() {
+    let broken = broken("a burst", &THIN_TRAFFIC, joins_under_a_burst);
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
+#[test]
+fn twenty_relays_keep_within_what_a_cold_backend_bears_beside_a_crash() {
+    let broken = broken("a crash", &THIN_TRAFFIC, joins_beside_a_crash);
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
--- /dev/null
+++ b/tests/short_days/fleet.rs
@@ -0,0 +1,264 @@
+//! A fleet in virtual time: instances of the decision module before modelled backends. Everything that is
+//! drawn comes from one seed, so a play gives the same result every time.
+use hallrelay::logic::Relay;
+use hallrelay::types::*;
+use std::collections::{BTreeMap, HashMap};
+
+pub const MILLISECOND: Micros = 1_000;
+pub const SECOND: Micros = 1_000_000;
+
+/// The way to a backend and back, with its answer.
+const ROUND_TRIP: Micros = 2 * MILLISECOND;
+
+/// What a client allows for its dial.
+const DIAL_TIMEOUT: Micros = 2 * SECOND;
+
+/// A backend as the model keeps it.
+#[derive(Default)]
+pub struct Backend {
+    pub entry: Entry,
+    /// Sessions that fill a warm one.
+    pub capacity: f64,
+    pub open: u32,
+    /// Load that others put on it, over its capacity.
+    pub other_load: f64,
+    /// When each dial came, in order.
+    pub dials: Vec<Micros>,
+}
+
+impl Backend {
+    /// The part of its capacity that it has by then.
+    fn warmth(&self, now: Micros, site: &SiteFacts) -> f64 {
+        if self.entry.came_up == 0 {
+            return 1.0;
+        }
+        let age = now.saturating_sub(self.entry.came_up) as f64 / site.cold as f64;
+        site.cold_from + (1.0 - site.cold_from) * age.min(1.0)
+    }
+
+    fn report(&self, now: Micros, site: &SiteFacts) -> Report {
+        let load = self.other_load + f64::from(self.open) / (self.capacity * self.warmth(now, site));
+        Report { load: Some(load), piled: Some(0.0), held: Some(f64::from(self.open)) }
+    }
+
+    /// N of `docs/design.md`: the sessions that a cold backend takes within the time in which it may fall.
+    pub fn cold_budget(&self, now: Micros, site: &SiteFacts) -> f64 {
+        let rate = site.fall_multiple * self.warmth(now, site) * self.capacity / site.cold as f64;
+        rate * site.fall as f64
+    }
+
+    /// The dials within the time in which it may fall, up to then.
+    pub fn dials_in_fall_window(&self, now: Micros, site: &SiteFacts) -> usize {
+        let within = |at: &&Micros| **at <= now && **at + site.fall > now && **at >= self.entry.came_up;
+        self.dials.iter().filter(within).count()
+    }
+}
+
+/// What a relay did, for the tests' verdicts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Deed {
+    Dialled,
+    Refused,
+}
+
+/// What is due at some moment.
+enum Happening {
+    Input { relay: usize, input: Input },
+    ClientComes { relay: usize, returned: bool },
+    SessionEnds { relay: usize, sess: SessId, server: ServerId },
+    BackendIsProbed { relay: usize, server: ServerId },
+}
+
+/// A session that stands.
+struct Standing {
+    server: ServerId,
+}
+
+pub struct Fleet {
+    pub site: SiteFacts,
+    pub backends: BTreeMap<ServerId, Backend>,
+    pub now: Micros,
+    /// Per relay what it did, in order.
+    pub deeds: Vec<Vec<(Micros, Deed)>>,
+    /// The mean life of a session.
+    pub session_life: Micros,
+    relays: Vec<Relay>,
+    standing: Vec<HashMap<SessId, Standing>>,
+    due: BTreeMap<(Micros, u64), Happening>,
+    scheduled: u64,
+    last_session: SessId,
+    chance: oorandom::Rand64,
+}
+
+impl Fleet {
+    /// `site.slot` is set for each relay.
+    pub fn new(site: SiteFacts, seed: u64) -> Fleet {
+        let relay = |slot: u32| {
+            let facts = SiteFacts { slot, ..site.clone() };
+            Relay::new(facts, seed.wrapping_mul(1_000).wrapping_add(u64::from(slot)))
+        };
+        let count = site.relays as usize;
+        Fleet {
+            relays: (0..site.relays).map(relay).collect(),
+            site,
+            backends: BTreeMap::new(),
+            now: 0,
+            deeds: vec![Vec::new(); count],
+            session_life: SECOND,
+            standing: (0..count).map(|_| HashMap::new()).collect(),
+            due: BTreeMap::new(),
+            scheduled: 0,
+            last_session: 0,
+            chance: oorandom::Rand64::new(u128::from(seed)),
+        }
+    }
+
+    /// From 0 to 1.
+    pub fn draw(&mut self) -> f64 {
+        self.chance.rand_float()
+    }
+
+    /// A time of the exponential distribution.
+    pub fn draw_time(&mut self, mean: f64) -> Micros {
+        (-mean * (1.0 - self.draw()).ln()) as Micros
+    }
+
+    fn schedule(&mut self, at: Micros, happening: Happening) {
+        self.scheduled += 1;
+        self.due.insert((at, self.scheduled), happening);
+    }
+
+    pub fn add_warm_backend(&mut self, server: ServerId, capacity: f64) {
+        let entry = Entry { server, phase: Phase::Ready, ..Entry::default() };
+        self.backends.insert(server, Backend { entry, capacity, ..Backend::default() });
+    }
+
+    /// One that starts now, cold. All relays are told at once.
+    pub fn start_cold_backend(&mut self, server: ServerId, capacity: f64) {
+        let entry = Entry { server, phase: Phase::Ready, came_up: self.now, ..Entry::default() };
+        let dials = Vec::new();
+        self.backends.insert(server, Backend { entry, capacity, dials, ..Backend::default() });
+        self.tell_all(ListKind::Changes, vec![entry]);
+    }
+
+    /// Its sessions end, and their clients come again within a time; all relays are told that it is gone.
+    pub fn crash_backend(&mut self, server: ServerId, return_within: Micros) {
+        for relay in 0..self.relays.len() {
+            let there = self.standing[relay].iter().filter(|(_, one)| one.server == server);
+            let mut there: Vec<SessId> = there.map(|(sess, _)| *sess).collect();
+            there.sort_unstable();
+            for sess in there {
+                self.standing[relay].remove(&sess);
+                let end = DialEnd::Reset;
+                let input = Input::DialEnded { sess, dial: 0, end, settled: true, report: None };
+                self.step(relay, input);
+                let at = self.now + (self.draw() * return_within as f64) as Micros;
+                self.schedule(at, Happening::ClientComes { relay, returned: true });
+            }
+        }
+        let entry = Entry { server, phase: Phase::Gone, ..Entry::default() };
+        self.backends.remove(&server);
+        self.tell_all(ListKind::Changes, vec![entry]);
+    }
+
+    pub fn tell_whole_list(&mut self) {
+        let entries = self.backends.values().map(|backend| backend.entry).collect();
+        self.tell_all(ListKind::Full, entries);
+    }
+
+    fn tell_all(&mut self, kind: ListKind, entries: Vec<Entry>) {
+        for relay in 0..self.relays.len() {
+            self.step(relay, Input::List { kind, entries: entries.clone() });
+        }
+    }
+
+    /// Clients come to every relay at a mean rate, each by chance, within a span.
+    pub fn schedule_clients(&mut self, from: Micros, till: Micros, per_second: f64) {
+        for relay in 0..self.relays.len() {
+            let mut at = from;
+            loop {
+                at += self.draw_time(SECOND as f64 / per_second).max(1);
+                if at >= till {
+                    break;
+                }
+                self.schedule(at, Happening::ClientComes { relay, returned: false });
+            }
+        }
+    }
+
+    pub fn run_until(&mut self, end: Micros) {
+        while let Some((&key, _)) = self.due.first_key_value().filter(|(key, _)| key.0 <= end) {
+            let happening = self.due.remove(&key).expect("it was just seen");
+            self.now = key.0;
+            self.happen(happening);
+        }
+        self.now = end;
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Input { relay, input } => self.step(relay, input),
+            Happening::ClientComes { relay, returned } => {
+                self.last_session += 1;
+                let asked = Asked { returned, left: DIAL_TIMEOUT, ..Asked::default() };
+                self.step(relay, Input::Asked { sess: self.last_session, asked });
+            }
+            Happening::SessionEnds { relay, sess, server } => {
+                // One whose backend has crashed is over already.
+                if self.standing[relay].remove(&sess).is_some() {
+                    if let Some(backend) = self.backends.get_mut(&server) {
+                        backend.open -= 1;
+                    }
+                    self.step(relay, Input::Left { sess });
+                }
+            }
+            Happening::BackendIsProbed { relay, server } => {
+                let report = self.backends.get(&server).map(|b| b.report(self.now, &self.site));
+                let end = if report.is_some() { DialEnd::Ok } else { DialEnd::Unconnected };
+                self.step(relay, Input::Probed { server, end, report });
+            }
+        }
+    }
+
+    fn step(&mut self, relay: usize, input: Input) {
+        let mut effects = Vec::new();
+        self.relays[relay].step(self.now, input, &mut effects);
+        for effect in effects {
+            self.carry_out(relay, effect);
+        }
+    }
+
+    fn carry_out(&mut self, relay: usize, effect: Effect) {
+        match effect {
+            Effect::Dial { sess, server, .. } => self.dial(relay, sess, server),
+            Effect::Refuse { .. } | Effect::TearDown { .. } => {
+                self.deeds[relay].push((self.now, Deed::Refused));
+            }
+            Effect::Move { sess } => {
+                let server = self.standing[relay][&sess].server;
+                self.happen(Happening::SessionEnds { relay, sess, server });
+                self.schedule(self.now + ROUND_TRIP, Happening::ClientComes { relay, returned: true });
+            }
+            Effect::Probe { server } => {
+                self.schedule(self.now + ROUND_TRIP, Happening::BackendIsProbed { relay, server });
+            }
+            Effect::Alarm { after, label } => {
+                let input = Input::Alarm { label };
+                self.schedule(self.now + after, Happening::Input { relay, input });
+            }
+            Effect::Watch => {}
+        }
+    }
+
+    fn dial(&mut self, relay: usize, sess: SessId, server: ServerId) {
+        self.deeds[relay].push((self.now, Deed::Dialled));
+        let backend = self.backends.get_mut(&server).expect("only what is listed is dialled");
+        backend.dials.push(self.now);
+        backend.open += 1;
+        self.standing[relay].insert(sess, Standing { server });
+        let answer = Input::Stands { sess, dial: 0 };
+        self.schedule(self.now + ROUND_TRIP, Happening::Input { relay, input: answer });
+        let life = ROUND_TRIP + 1 + self.draw_time(self.session_life as f64);
+        self.schedule(self.now + life, Happening::SessionEnds { relay, sess, server });
+    }
+}
