Tests: the cold backend's allowance is a part of the case

Cause: how far twenty relays are from what a cold backend bears depends on its warm-up as much as on their traffic. Change: a case names both; the plays are the same.

--- a/tests/short_days/cold.rs
+++ b/tests/short_days/cold.rs
@@ -13,10 +13,23 @@
 /// When the cold one starts: loads are steady by then.
 const START: Micros = 15 * SECOND;
 const SEEDS: u64 = 20;
-/// Sessions a second that come to each relay: few have one as their turn at the cold backend comes.
-const THIN_TRAFFIC: [f64; 2] = [1.0, 3.0];
 
-fn site() -> SiteFacts {
+/// What the settings allow a cold backend.
+#[derive(Clone, Copy, Debug)]
+pub struct Allowance {
+    pub cold: Micros,
+    pub cold_from: f64,
+    pub fall: Micros,
+}
+
+/// As in the text scenarios of the module.
+pub const SHORT_WARM_UP: Allowance = Allowance { cold: 10 * SECOND, cold_from: 0.2, fall: 2 * SECOND };
+
+/// A play's allowance, and the sessions a second that come to each relay.
+#[derive(Clone, Copy, Debug)]
+pub struct Case(pub Allowance, pub f64);
+
+fn site(allowance: Allowance) -> SiteFacts {
     let listener = |utility| Listener {
         utility,
         repeat: Repeat::Repeatable,
@@ -29,10 +42,10 @@
         may_probe: true,
         most_dials: 4,
         max_open: 1_000_000,
-        cold: 10 * SECOND,
-        cold_from: 0.2,
+        cold: allowance.cold,
+        cold_from: allowance.cold_from,
         fall_multiple: 3.0,
-        fall: 2 * SECOND,
+        fall: allowance.fall,
         price_probe: 0.002,
         ..SiteFacts::default()
     }
@@ -70,8 +83,8 @@
     worst
 }
 
-fn loaded(seed: u64, per_second: f64) -> Fleet {
-    let mut fleet = Fleet::new(site(), seed);
+fn loaded(seed: u64, Case(allowance, per_second): Case) -> Fleet {
+    let mut fleet = Fleet::new(site(allowance), seed);
     let sessions = USUAL_LOAD * CAPACITY * f64::from(WARM_BACKENDS);
     fleet.session_life = (sessions / (per_second * f64::from(RELAYS)) * SECOND as f64) as Micros;
     (1..=WARM_BACKENDS).for_each(|server| fleet.add_warm_backend(server, CAPACITY));
@@ -81,9 +94,9 @@
 }
 
 /// A new backend joins as half as many clients again come, for four seconds.
-pub fn joins_under_a_burst(seed: u64, per_second: f64) -> Worst {
-    let mut fleet = loaded(seed, per_second);
-    fleet.schedule_clients(START, START + 4 * SECOND, per_second / 2.0);
+pub fn joins_under_a_burst(seed: u64, case: Case) -> Worst {
+    let mut fleet = loaded(seed, case);
+    fleet.schedule_clients(START, START + 4 * SECOND, case.1 / 2.0);
     fleet.run_until(START);
     fleet.start_cold_backend(COLD, CAPACITY);
     fleet.run_until(START + fleet.site.cold);
@@ -91,8 +104,8 @@
 }
 
 /// The clients of one that crashed come again within half a second, as another one has just started.
-pub fn joins_beside_a_crash(seed: u64, per_second: f64) -> Worst {
-    let mut fleet = loaded(seed, per_second);
+pub fn joins_beside_a_crash(seed: u64, case: Case) -> Worst {
+    let mut fleet = loaded(seed, case);
     fleet.run_until(START);
     fleet.start_cold_backend(COLD, CAPACITY);
     // The relays' first turns there are open by then.
@@ -103,13 +116,13 @@
 }
 
 /// Where more came than the backend bears, in words.
-pub fn broken(what: &str, traffic: &[f64], play: impl Fn(u64, f64) -> Worst) -> Vec<String> {
+pub fn broken(what: &str, cases: &[Case], play: impl Fn(u64, Case) -> Worst) -> Vec<String> {
     let mut broken = Vec::new();
-    for &per_second in traffic {
-        let plays: Vec<(u64, Worst)> = (1..=SEEDS).map(|seed| (seed, play(seed, per_second))).collect();
+    for &case in cases {
+        let plays: Vec<(u64, Worst)> = (1..=SEEDS).map(|seed| (seed, play(seed, case))).collect();
         let (seed, most) = plays.iter().max_by(|a, b| a.1.part.total_cmp(&b.1.part)).expect("some plays");
         let over = plays.iter().filter(|(_, worst)| worst.part > 1.0).count();
-        let line = format!("{what}, {per_second}/s: {over} of {SEEDS} seeds over; seed {seed}: {most}");
+        let line = format!("{what}, {case:?}: {over} of {SEEDS} seeds over; seed {seed}: {most}");
         println!("{line}");
         broken.extend((over > 0).then_some(line));
         // Else nothing is tested.
@@ -118,6 +131,9 @@
     broken
 }
 
+/// Few relays have a session as their turn at the cold backend comes.
+const THIN_TRAFFIC: [Case; 2] = [Case(SHORT_WARM_UP, 1.0), Case(SHORT_WARM_UP, 3.0)];
+
 #[test]
 fn twenty_relays_keep_within_what_a_cold_backend_bears_under_a_burst() {
     let broken = broken("a burst", &THIN_TRAFFIC, joins_under_a_burst);
