Old answers can't go on refusing for a relay that may not probe

Cause: where probes are not allowed a relay learns loads from dials' answers alone. Once the backends had refused for being full, the thresholds refused every session by those answers, no dial went out, and nothing newer was ever heard (Relay::gauge). Change: without probes an answer counts in the estimate of the fleet for three seconds.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -363,8 +363,10 @@
         for v in self.servers.values().filter(|v| v.entry.ready() && v.misses == 0) {
             let warmth = self.warmth(v);
             all += warmth;
-            // Guards relays of few sessions: a server known by a late message alone is no sample of others.
-            let Some(heard) = v.heard else {
+            // Guards relays of few sessions: a server known by a late message alone is no sample of others. And
+            // relays that may not probe: only a dial tells them more, so old answers can't go on refusing it.
+            let counts = |t: &Micros| self.site.may_probe || self.now - t <= 3 * LAG;
+            let Some(heard) = v.heard.filter(counts) else {
                 own += warmth * f64::from(self.piled(v) > self.bar);
                 continue;
             };
--- a/tests/short_days/main.rs
+++ b/tests/short_days/main.rs
@@ -2,3 +2,4 @@
 mod cold;
 mod fleet;
 mod refusals;
+mod unheard;
--- /dev/null
+++ b/tests/short_days/unheard.rs
@@ -0,0 +1,78 @@
+//! A relay that may not probe knows loads from refusals alone: once all backends have refused for being full,
+//! it must find out that they have room again.
+use crate::fleet::{MILLISECOND, SECOND};
+use hallrelay::logic::Relay;
+use hallrelay::types::*;
+
+const BACKENDS: u32 = 6;
+/// Clients come so often.
+const EVERY: Micros = 200 * MILLISECOND;
+/// Till then all backends say that they are full; from then on they take sessions.
+const ROOM_AT: Micros = 20 * SECOND;
+const END: Micros = 40 * SECOND;
+/// A relay may not turn away all sessions for so long.
+const LONGEST: Micros = 4 * SECOND;
+
+fn relay() -> Relay {
+    let listener = |utility| Listener {
+        utility,
+        repeat: Repeat::Repeatable,
+        handshake_target: 300 * MILLISECOND,
+        message_target: 60 * MILLISECOND,
+    };
+    let site = SiteFacts {
+        listeners: vec![listener(1.0), listener(5.0)],
+        relays: 6,
+        may_probe: false,
+        most_dials: 4,
+        max_open: 1_000_000,
+        cold: 10 * SECOND,
+        cold_from: 0.2,
+        fall_multiple: 3.0,
+        fall: 2 * SECOND,
+        ..SiteFacts::default()
+    };
+    Relay::new(site, 7)
+}
+
+/// Gives an input and answers each dial at once; whether there was any.
+fn dials(relay: &mut Relay, now: Micros, input: Input) -> bool {
+    let (mut inputs, mut dialled, mut dials_of_session) = (vec![input], false, 0);
+    while let Some(input) = inputs.pop() {
+        let mut effects = Vec::new();
+        relay.step(now, input, &mut effects);
+        for effect in effects {
+            let Effect::Dial { sess, .. } = effect else { continue };
+            dialled = true;
+            let full = now < ROOM_AT;
+            let report = Report { load: Some(if full { 0.97 } else { 0.2 }), ..Report::default() };
+            let end = if full { DialEnd::Full } else { DialEnd::Ok };
+            let dial = dials_of_session;
+            dials_of_session += 1;
+            inputs.push(Input::DialEnded { sess, dial, end, settled: !full, report: Some(report) });
+        }
+    }
+    dialled
+}
+
+#[test]
+fn a_relay_without_probes_finds_out_that_backends_have_room_again() {
+    let mut relay = relay();
+    let entry = |server| Entry { server, phase: Phase::Ready, ..Entry::default() };
+    let entries = (1..=BACKENDS).map(entry).collect();
+    dials(&mut relay, 0, Input::List { kind: ListKind::Full, entries });
+    let (mut last_dial, mut longest, mut refused_before, mut refused) = (ROOM_AT, 0, 0, 0);
+    for (sess, now) in (0..END).step_by(EVERY as usize).enumerate() {
+        let asked = Asked { listener: sess % 2, left: SECOND, ..Asked::default() };
+        let dialled = dials(&mut relay, now, Input::Asked { sess: sess as SessId, asked });
+        match (now < ROOM_AT, dialled) {
+            (true, dialled) => refused_before += u32::from(!dialled),
+            (false, true) => last_dial = now,
+            (false, false) => refused += 1,
+        }
+        longest = longest.max(now.saturating_sub(last_dial));
+    }
+    assert!(refused_before > 0, "else nothing is tested: it never refuses");
+    println!("{refused} refused without a dial, for {longest} us on end at most");
+    assert!(longest < LONGEST, "{refused} refused without a dial, for {longest} us on end");
+}
