Account for lost service from relays' logs: hallrelay-lab losses

`losses FOLDER` streams them, one relay after another, and gives by the second and in sum: attempts by what became of them, dials by their ends, time to come up, ends of placed sessions, and beside them open sessions, backends by state, groups over backends and probes' reports. It adds up; what is not known is told by why, and over 5% is exit 2. `--session ID` follows one client through all relays.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -2,6 +2,7 @@
 pub mod cost;
 pub mod fleet;
 pub mod keys;
+pub mod losses;
 pub mod members;
 pub mod pairs;
 pub mod relays;
--- /dev/null
+++ b/lab/src/losses/logs.rs
@@ -0,0 +1,177 @@
+//! Reads all logs of a folder, one after another, a line at a time.
+use super::attempt::{Attempt, Moment};
+use super::parse::{self, Entry, Line, Time};
+use super::process::Relay;
+use super::rows::Read;
+use hallrelay::types::Micros;
+use hallrelay_config::list::List;
+use std::fs::File;
+use std::io::{BufRead, BufReader};
+use std::path::{Path, PathBuf};
+
+/// The longest line that is read, in bytes: a list of thousands of backends is shorter.
+const MOST_BYTES: u64 = 4 << 20;
+
+/// The longest day that is accounted for, second by second: a week.
+const MOST_DAY: Micros = 7 * 86_400_000_000;
+
+/// What comes out of the logs.
+pub trait Reader {
+    /// An attempt whose end is known.
+    fn attempt(&mut self, attempt: Attempt);
+    /// A list of backends that a relay heard, or began with.
+    fn list(&mut self, _at: Moment, _list: &List) {}
+    /// Another entry that is of no session.
+    fn entry(&mut self, _at: Moment, _entry: &Entry) {}
+}
+
+/// The logs of one day.
+pub struct Logs {
+    files: Vec<PathBuf>,
+    /// The relays' clocks at the beginning of the day, for lines without a prefix.
+    start: Micros,
+    /// The last moment in any of them.
+    pub day_end: Micros,
+}
+
+impl Logs {
+    /// Finds all files `*.log` of a folder, and when the day begins and ends by them.
+    pub fn find(folder: &Path) -> Result<Logs, String> {
+        let mut files = Vec::new();
+        for entry in std::fs::read_dir(folder).map_err(|e| told(folder, &e))? {
+            let path = entry.map_err(|e| told(folder, &e))?.path();
+            if path.extension().is_some_and(|kind| kind == "log") {
+                files.push(path);
+            }
+        }
+        files.sort();
+        let mut logs = Logs { files, start: Micros::MAX, day_end: 0 };
+        logs.span()?;
+        if logs.day_end > MOST_DAY {
+            return Err(format!("{}: the logs are of more than a week", folder.display()));
+        }
+        Ok(logs)
+    }
+
+    /// How many there are.
+    pub fn count(&self) -> usize {
+        self.files.len()
+    }
+
+    /// Reads all of them.
+    pub fn read(&self, reader: &mut dyn Reader) -> Result<Read, String> {
+        let mut read = Read::default();
+        for path in &self.files {
+            self.one(path, reader, &mut read)?;
+        }
+        Ok(read)
+    }
+
+    /// The first pass: when the day begins, and when it ends.
+    fn span(&mut self) -> Result<(), String> {
+        let mut last = Vec::new();
+        for path in &self.files {
+            let mut newest = None;
+            let mut lines = Lines::open(path)?;
+            while let Some(text) = lines.next()? {
+                let Some(time) = text.and_then(parse::time) else { continue };
+                self.start = self.start.min(time.clock);
+                newest = Some(time);
+            }
+            last.extend(newest);
+        }
+        self.day_end = last.into_iter().map(|time| self.moment(time).day).max().unwrap_or(0);
+        Ok(())
+    }
+
+    fn moment(&self, time: Time) -> Moment {
+        let since_start = time.clock.saturating_sub(self.start);
+        Moment { day: time.prefix.unwrap_or(since_start), clock: time.clock }
+    }
+
+    fn one(&self, path: &Path, reader: &mut dyn Reader, read: &mut Read) -> Result<(), String> {
+        let name = path.file_stem().unwrap_or_default().to_string_lossy();
+        let mut lines = Lines::open(path)?;
+        let mut relay = Relay::new(&name);
+        // A configuration bears no time; what it tells holds from the next line on.
+        let mut configured = None;
+        let mut entries = 0;
+        while let Some(text) = lines.next()? {
+            read.lines += 1;
+            let line = text.map_or(Line::Unknown, parse::line);
+            match line {
+                Line::Unknown => read.unknown += 1,
+                Line::Cut => read.cut += 1,
+                Line::Configured(list) => {
+                    relay.starts();
+                    configured = list;
+                }
+                Line::Logged { time, entry } => {
+                    let at = self.moment(time);
+                    if let Some(list) = configured.take() {
+                        reader.list(at, &list);
+                    }
+                    relay.entry(at, &entry);
+                    entries += u64::from(entry.is_event_or_effect());
+                    match entry {
+                        Entry::Dropped(lines) => read.dropped += lines,
+                        Entry::List(list) => reader.list(at, &list),
+                        entry => reader.entry(at, &entry),
+                    }
+                }
+            }
+            relay.take_done().for_each(|attempt| reader.attempt(attempt));
+        }
+        relay.finish(self.day_end);
+        relay.take_done().for_each(|attempt| reader.attempt(attempt));
+        read.relays += u64::from(entries > 0);
+        read.entries += entries;
+        read.processes += relay.processes;
+        Ok(())
+    }
+}
+
+/// The lines of a file, each without its end.
+struct Lines {
+    path: PathBuf,
+    file: BufReader<File>,
+    line: Vec<u8>,
+}
+
+impl Lines {
+    fn open(path: &Path) -> Result<Lines, String> {
+        let file = File::open(path).map_err(|e| told(path, &e))?;
+        Ok(Lines { path: path.to_path_buf(), file: BufReader::new(file), line: Vec::new() })
+    }
+
+    /// The next line; `Some(None)` for one that is no text or too long to be one of a log.
+    fn next(&mut self) -> Result<Option<Option<&str>>, String> {
+        let length = self.part()?;
+        if length == 0 {
+            return Ok(None);
+        }
+        if self.line.last() != Some(&b'\n') && length as u64 == MOST_BYTES {
+            self.skip_line()?;
+            return Ok(Some(None));
+        }
+        let text = std::str::from_utf8(&self.line).ok();
+        Ok(Some(text.map(|text| text.trim_end_matches(['\n', '\r']))))
+    }
+
+    /// Reads up to the end of a line, or as much as a line may have; how many bytes.
+    fn part(&mut self) -> Result<usize, String> {
+        use std::io::Read;
+        self.line.clear();
+        let mut part = self.file.by_ref().take(MOST_BYTES);
+        part.read_until(b'\n', &mut self.line).map_err(|e| told(&self.path, &e))
+    }
+
+    fn skip_line(&mut self) -> Result<(), String> {
+        while self.part()? > 0 && self.line.last() != Some(&b'\n') {}
+        Ok(())
+    }
+}
+
+fn told(path: &Path, error: &std::io::Error) -> String {
+    format!("{}: {error}", path.display())
+}
--- /dev/null
+++ b/lab/src/losses/parse.rs
@@ -0,0 +1,370 @@
+//! One line of a relay's log, parsed into the entries that the accounting needs.
+use super::fields;
+use hallrelay::types::{DialEnd, Micros, Phase, Report, SessId};
+use hallrelay_config::list::{self, Instance, List};
+use std::net::SocketAddr;
+
+/// Seconds of the day beyond which a prefix is not believed: a week.
+const MOST_SECONDS: f64 = 7.0 * 86_400.0;
+
+/// What a line of a log is.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Line {
+    /// A line of a relay's log.
+    Logged { time: Time, entry: Entry },
+    /// A process of the relay starts: its configuration, as a rig may write it into the log, with the list
+    /// in it where that can be read. Such a line bears no time of the day.
+    Configured(Option<List>),
+    /// Begins as an entry that matters, and ends before it is whole.
+    Cut,
+    /// Not in the form of a relay's log.
+    Unknown,
+}
+
+/// When a line was logged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Time {
+    /// The prefix that a rig may write, in microseconds since the day began.
+    pub prefix: Option<Micros>,
+    /// The relay's own clock, in microseconds since the year began.
+    pub clock: Micros,
+}
+
+/// What a client's first line says, as far as it is accounted for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Opening {
+    /// The mark of this attempt.
+    pub id: u64,
+    /// The client's own mark, the same in all its attempts; 0 is none.
+    pub key: u64,
+    /// Sessions of one group share work on a backend; 0 is none.
+    pub group: u64,
+    /// The client is back after an interruption or a move.
+    pub returned: bool,
+    /// The connection stood at a backend before this process of the relay began.
+    pub standing: bool,
+}
+
+/// The entries of a log that matter to the accounting, each after the event or effect of its name.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Entry {
+    /// The process serves.
+    Serving,
+    Came {
+        conn: SessId,
+    },
+    Opened {
+        sess: SessId,
+        opening: Opening,
+    },
+    /// A session that the process before this one had open, at a backend of this name.
+    Inherited {
+        sess: SessId,
+        opening: Opening,
+        backend: String,
+    },
+    Dial {
+        sess: SessId,
+        addr: SocketAddr,
+    },
+    DialEnded {
+        sess: SessId,
+        dial: u32,
+        end: DialEnd,
+    },
+    /// The session is open: lines pass both ways.
+    Pass {
+        sess: SessId,
+    },
+    Ended {
+        sess: SessId,
+        end: DialEnd,
+    },
+    Departed {
+        sess: SessId,
+    },
+    Gone {
+        sess: SessId,
+    },
+    /// Another process goes on with the session.
+    Passed {
+        sess: SessId,
+    },
+    Refuse {
+        sess: SessId,
+    },
+    TearDown {
+        sess: SessId,
+    },
+    Spurn {
+        sess: SessId,
+    },
+    Close {
+        sess: SessId,
+    },
+    Move {
+        sess: SessId,
+    },
+    /// The relay's duty changes: whether it moves its own sessions away from now on.
+    Duty {
+        leaves: bool,
+    },
+    Exit,
+    Probe {
+        addr: SocketAddr,
+    },
+    Probed {
+        end: DialEnd,
+        report: Report,
+    },
+    List(List),
+    /// So many lines of the log were dropped, since they came faster than they could be written.
+    Dropped(u64),
+    /// An event or effect that the accounting does not need.
+    OtherEvent,
+    /// A line of the log that is no event or effect.
+    Other,
+}
+
+impl Entry {
+    /// Whether it stands for an event or an effect, which are logged at `-vv` alone.
+    pub fn is_event_or_effect(&self) -> bool {
+        !matches!(self, Entry::Serving | Entry::Dropped(_) | Entry::Other)
+    }
+}
+
+/// When a line was logged; none for what is no line of a log.
+pub fn time(text: &str) -> Option<Time> {
+    head(text).map(|(time, _)| time)
+}
+
+/// Parses one line, without its end.
+pub fn line(text: &str) -> Line {
+    if let Some(list) = configuration(text) {
+        return Line::Configured(list);
+    }
+    let Some((time, message)) = head(text) else { return Line::Unknown };
+    match entry(message) {
+        Some(entry) => Line::Logged { time, entry },
+        None => Line::Cut,
+    }
+}
+
+/// A line `[SECONDS] {JSON} ..`; the list of backends known at the start, where it can be read.
+fn configuration(text: &str) -> Option<Option<List>> {
+    let (seconds, json) = text.strip_prefix('[')?.split_once("] ")?;
+    seconds.parse::<f64>().ok()?;
+    json.starts_with('{').then(|| known(json))
+}
+
+/// The list in a configuration. What a rig writes behind the configuration is no part of it.
+fn known(json: &str) -> Option<List> {
+    let mut values = serde_json::Deserializer::from_str(json).into_iter::<serde_json::Value>();
+    let configuration = values.next()?.ok()?;
+    list::parse(configuration.get("known")?.to_string().as_bytes()).ok()
+}
+
+/// The time of a line and what follows its level.
+fn head(text: &str) -> Option<(Time, &str)> {
+    let (first, rest) = text.split_once(' ')?;
+    let prefix = seconds(first);
+    let dated = if prefix.is_some() { rest } else { text };
+    let (month, rest) = dated.split_once(' ')?;
+    let (day, rest) = rest.trim_start().split_once(' ')?;
+    let (of_day, rest) = rest.split_once(' ')?;
+    let (level, message) = rest.split_once(' ')?;
+    if !["TRCE", "DEBG", "INFO", "WARN", "ERRO", "CRIT"].contains(&level) {
+        return None;
+    }
+    let clock = day_of_year(month, day)? * 86_400_000_000 + time_of_day(of_day)?;
+    Some((Time { prefix, clock }, message))
+}
+
+fn seconds(text: &str) -> Option<Micros> {
+    let seconds: f64 = text.parse().ok()?;
+    (0.0..MOST_SECONDS).contains(&seconds).then(|| (seconds * 1e6).round() as Micros)
+}
+
+/// Days since the year began, in a year without a 29th of February (logs bear no year).
+fn day_of_year(month: &str, day: &str) -> Option<Micros> {
+    const MONTHS: [(&str, Micros); 12] = [
+        ("Jan", 0),
+        ("Feb", 31),
+        ("Mar", 59),
+        ("Apr", 90),
+        ("May", 120),
+        ("Jun", 151),
+        ("Jul", 181),
+        ("Aug", 212),
+        ("Sep", 243),
+        ("Oct", 273),
+        ("Nov", 304),
+        ("Dec", 334),
+    ];
+    let before = MONTHS.iter().find(|one| one.0 == month)?.1;
+    let day: u8 = day.parse().ok()?;
+    (1..=31).contains(&day).then(|| before + Micros::from(day) - 1)
+}
+
+/// `05:10:06.202` in microseconds.
+fn time_of_day(text: &str) -> Option<Micros> {
+    let mut parts = text.split(':');
+    let hours: u8 = parts.next()?.parse().ok()?;
+    let minutes: u8 = parts.next()?.parse().ok()?;
+    let seconds: f64 = parts.next()?.parse().ok()?;
+    let fits = hours < 24 && minutes < 60 && (0.0..61.0).contains(&seconds) && parts.next().is_none();
+    let whole = Micros::from(hours) * 3600 + Micros::from(minutes) * 60;
+    fits.then(|| whole * 1_000_000 + (seconds * 1e6).round() as Micros)
+}
+
+/// What follows the level of a line; none where an entry that matters is not whole.
+fn entry(message: &str) -> Option<Entry> {
+    if let Some(what) = message.strip_prefix("event, what: ") {
+        return event(what);
+    }
+    if let Some(what) = message.strip_prefix("effect, what: ") {
+        return effect(what);
+    }
+    if message.starts_with("serving, ") {
+        return Some(Entry::Serving);
+    }
+    if message.starts_with("slog-async: logger dropped messages") {
+        return Some(Entry::Dropped(fields::after(message, "count")?.trim_end().parse().ok()?));
+    }
+    Some(Entry::Other)
+}
+
+fn event(what: &str) -> Option<Entry> {
+    let name = whole_name(what)?;
+    let sess = || fields::parsed(what, "sess");
+    Some(match name {
+        "Came" => Entry::Came { conn: fields::parsed(what, "conn")? },
+        "Opened" => Entry::Opened { sess: sess()?, opening: opened(what)? },
+        "Inherited" => Entry::Inherited {
+            sess: sess()?,
+            opening: inherited(what)?,
+            backend: fields::text(what, "server")?.to_string(),
+        },
+        "DialEnded" => {
+            Entry::DialEnded { sess: sess()?, dial: fields::parsed(what, "dial")?, end: end(what)? }
+        }
+        "Ended" => Entry::Ended { sess: sess()?, end: end(what)? },
+        "Departed" => Entry::Departed { sess: sess()? },
+        "Gone" => Entry::Gone { sess: sess()? },
+        "Passed" => Entry::Passed { sess: sess()? },
+        "Probed" => Entry::Probed { end: end(what)?, report: report(what)? },
+        "List" => Entry::List(heard(what)?),
+        _ => Entry::OtherEvent,
+    })
+}
+
+fn effect(what: &str) -> Option<Entry> {
+    let name = whole_name(what)?;
+    let sess = || fields::parsed(what, "sess");
+    Some(match name {
+        "Dial" => Entry::Dial { sess: sess()?, addr: fields::parsed(what, "addr")? },
+        "Pass" => Entry::Pass { sess: sess()? },
+        "Refuse" => Entry::Refuse { sess: sess()? },
+        "TearDown" => Entry::TearDown { sess: sess()? },
+        "Spurn" => Entry::Spurn { sess: fields::parsed(what, "conn")? },
+        "Close" => Entry::Close { sess: sess()? },
+        "Move" => Entry::Move { sess: sess()? },
+        "Probe" => Entry::Probe { addr: fields::parsed(what, "addr")? },
+        "Note" => duty(fields::text(what, "what")?),
+        "Exit" => Entry::Exit,
+        _ => Entry::OtherEvent,
+    })
+}
+
+/// The name of an event or effect; none where its line was cut.
+fn whole_name(what: &str) -> Option<&str> {
+    /// Events and effects without a field.
+    const BARE: [&str; 4] = ["Written", "Unfit", "Stop", "Exit"];
+    let (name, fields) = fields::name(what);
+    let is_complete = if fields.trim().is_empty() { BARE.contains(&name) } else { fields::is_whole(fields) };
+    is_complete.then_some(name)
+}
+
+fn opened(what: &str) -> Option<Opening> {
+    let at = fields::after(what, "at")?;
+    Some(Opening {
+        id: fields::parsed(what, "id")?,
+        key: fields::parsed(what, "key")?,
+        group: fields::parsed(what, "group")?,
+        returned: fields::parsed(what, "returned")?,
+        standing: at.starts_with("Some("),
+    })
+}
+
+fn inherited(what: &str) -> Option<Opening> {
+    Some(Opening {
+        id: fields::parsed(what, "mark")?,
+        key: fields::parsed(what, "key")?,
+        group: fields::parsed(what, "group")?,
+        returned: fields::parsed(what, "returned")?,
+        standing: false,
+    })
+}
+
+fn end(what: &str) -> Option<DialEnd> {
+    Some(match fields::word(what, "end")? {
+        "Ok" => DialEnd::Ok,
+        "Error" => DialEnd::Error,
+        "Full" => DialEnd::Full,
+        "Timeout" => DialEnd::Timeout,
+        "Unconnected" => DialEnd::Unconnected,
+        "Reset" => DialEnd::Reset,
+        "Recalled" => DialEnd::Recalled,
+        "Moot" => DialEnd::Moot,
+        _ => return None,
+    })
+}
+
+fn report(what: &str) -> Option<Report> {
+    if fields::after(what, "report")?.starts_with("None") {
+        return Some(Report::default());
+    }
+    Some(Report {
+        load: fields::optional_number(what, "load")?,
+        piled: fields::optional_number(what, "piled")?,
+        held: fields::optional_number(what, "held")?,
+    })
+}
+
+fn heard(what: &str) -> Option<List> {
+    const INSTANCE: &str = "Instance { ";
+    let (_, instances) = what.split_once("instances: [")?;
+    Some(List {
+        generation: fields::parsed(what, "generation")?,
+        whole: fields::parsed(what, "whole")?,
+        instances: instances.split(INSTANCE).skip(1).map(instance).collect::<Option<_>>()?,
+        odd: Vec::new(),
+    })
+}
+
+fn instance(fields_of: &str) -> Option<Instance> {
+    // Fields are looked up behind a space, which the first one lost.
+    let of = format!(" {fields_of}");
+    Some(Instance {
+        id: fields::text(&of, "id")?.to_string(),
+        addr: fields::parsed(&of, "addr")?,
+        zone: fields::text(&of, "zone")?.to_string(),
+        cell: fields::parsed(&of, "cell")?,
+        phase: match fields::word(&of, "phase")? {
+            "Ready" => Phase::Ready,
+            "Draining" => Phase::Draining,
+            "Gone" => Phase::Gone,
+            _ => return None,
+        },
+        came_up: fields::parsed(&of, "came_up")?,
+    })
+}
+
+/// A note of the form `from serving to stopping` is a change of duty.
+fn duty(note: &str) -> Entry {
+    match note.strip_prefix("from ").and_then(|rest| rest.split_once(" to ")) {
+        Some((_, "draining" | "stopping" | "replaced")) => Entry::Duty { leaves: true },
+        Some((_, "serving")) => Entry::Duty { leaves: false },
+        _ => Entry::OtherEvent,
+    }
+}
--- /dev/null
+++ b/lab/src/losses/process.rs
@@ -0,0 +1,219 @@
+//! Follows the sessions of one relay's log, through all processes of that relay.
+use super::attempt::{Attempt, Dial, End, Fate, Gap, LastDial, Moment, Origin};
+use super::parse::{Entry, Opening};
+use hallrelay::types::{DialEnd, Micros, SessId};
+use std::collections::{BTreeMap, HashSet};
+
+/// A log whose last line lies longer than this before the end of the day says nothing of what was still
+/// undecided: relays log an alarm or a probe each second or two.
+const QUIET: Micros = 5_000_000;
+
+/// The sessions of one relay.
+pub struct Relay {
+    name: String,
+    /// Attempts that are undecided, and sessions that are open.
+    active: BTreeMap<SessId, Attempt>,
+    /// Sessions that are over, and whose connections are not: what is still logged of them counts no more.
+    closing: HashSet<SessId>,
+    /// The relay moves its own sessions away: it drains, stops or is replaced.
+    leaves: bool,
+    /// The highest number of a connection in this process; a lower one is of the next process.
+    newest: SessId,
+    last: Moment,
+    /// How many processes the log has shown.
+    pub processes: u64,
+    running: bool,
+    /// Attempts whose end is known, and that were not taken yet.
+    done: Vec<Attempt>,
+}
+
+impl Relay {
+    pub fn new(name: &str) -> Relay {
+        Relay {
+            name: name.to_string(),
+            active: BTreeMap::new(),
+            closing: HashSet::new(),
+            leaves: false,
+            newest: 0,
+            last: Moment::default(),
+            done: Vec::new(),
+            processes: 0,
+            running: false,
+        }
+    }
+
+    /// The log says that a process starts: what the one before it had left undecided ended with it.
+    pub fn starts(&mut self) {
+        self.ends();
+        self.closing.clear();
+        (self.leaves, self.newest) = (false, 0);
+    }
+
+    pub fn entry(&mut self, at: Moment, entry: &Entry) {
+        if let Entry::Serving = entry {
+            self.starts();
+        }
+        if matches!(entry, Entry::Came { conn } if *conn <= self.newest) {
+            self.starts();
+        }
+        if !matches!(entry, Entry::Other | Entry::Dropped(_)) && !self.running {
+            self.running = true;
+            self.processes += 1;
+        }
+        self.last = at;
+        match entry {
+            Entry::Came { conn } => self.newest = *conn,
+            Entry::Opened { sess, opening } => self.begins(at, *sess, opening, Origin::Client),
+            Entry::Inherited { sess, opening, backend } => {
+                self.begins(at, *sess, opening, Origin::Process(backend.clone()));
+            }
+            Entry::Dial { sess, addr } => self.dials(at, *sess, addr.to_string()),
+            Entry::DialEnded { sess, dial, end } => self.dial_ended(at, *sess, *dial, *end),
+            Entry::Pass { sess } => self.passes(at, *sess),
+            Entry::Ended { sess, end } => self.backend_ended(at, *sess, *end),
+            Entry::Departed { sess } | Entry::Gone { sess } => self.client_ended(at, *sess),
+            Entry::Passed { sess } => self.is_over(at, *sess, Fate::ClientLeft, End::PassedOn),
+            Entry::Refuse { sess } => self.answered(at, *sess, Fate::Refused),
+            Entry::TearDown { sess } => self.answered(at, *sess, Fate::Failed),
+            Entry::Spurn { sess } => self.spurned(at, *sess),
+            Entry::Close { sess } => self.is_over(at, *sess, Fate::TooLate, End::Otherwise),
+            Entry::Move { sess } => self.moved(at, *sess),
+            Entry::Duty { leaves } => self.leaves = *leaves,
+            Entry::Exit => self.exits(),
+            _ => {}
+        }
+        if let Entry::Gone { sess } = entry {
+            self.closing.remove(sess);
+        }
+    }
+
+    /// The log is over; `day_end` is the last moment in any log.
+    pub fn finish(&mut self, day_end: Micros) {
+        let says_all = self.last.day + QUIET >= day_end;
+        let (fate, end) = match says_all {
+            true => (Fate::StillWaiting, End::StillOpen),
+            false => (Fate::Unaccounted(Gap::LogEnds), End::Unaccounted(Gap::LogEnds)),
+        };
+        self.end_all(&fate, end);
+    }
+
+    /// Takes the attempts whose end is known by now.
+    pub fn take_done(&mut self) -> impl Iterator<Item = Attempt> + '_ {
+        self.done.drain(..)
+    }
+
+    fn begins(&mut self, at: Moment, sess: SessId, opening: &Opening, origin: Origin) {
+        if let Some(before) = self.active.remove(&sess) {
+            let gap = Gap::NumberReused;
+            self.hand_on(before, at, &Fate::Unaccounted(gap), End::Unaccounted(gap));
+        }
+        self.closing.remove(&sess);
+        self.active.insert(sess, Attempt::new(&self.name, at, opening.clone(), origin));
+    }
+
+    fn dials(&mut self, at: Moment, sess: SessId, backend: String) {
+        self.expects(at, sess);
+        if let Some(attempt) = self.active.get_mut(&sess) {
+            attempt.dials.push(Dial { at, backend, end: None });
+        }
+    }
+
+    fn dial_ended(&mut self, at: Moment, sess: SessId, number: u32, end: DialEnd) {
+        let Some(attempt) = self.active.get_mut(&sess).filter(|one| one.placed.is_none()) else { return };
+        // Words of an earlier dial are late.
+        if attempt.dials.len() != number as usize + 1 {
+            return;
+        }
+        if let Some(dial) = attempt.dials.last_mut() {
+            dial.end = Some((at, end));
+        }
+        if end == DialEnd::Ok && !attempt.opening.standing {
+            self.is_over(at, sess, Fate::ServedAtOnce, End::Otherwise);
+        }
+    }
+
+    fn passes(&mut self, at: Moment, sess: SessId) {
+        self.expects(at, sess);
+        if let Some(attempt) = self.active.get_mut(&sess) {
+            attempt.placed.get_or_insert(at);
+        }
+    }
+
+    fn backend_ended(&mut self, at: Moment, sess: SessId, end: DialEnd) {
+        let end = match end {
+            DialEnd::Ok => End::Done,
+            DialEnd::Recalled => End::SentAway,
+            DialEnd::Reset => End::Reset,
+            _ => End::Otherwise,
+        };
+        self.is_over(at, sess, Fate::Unaccounted(Gap::NeverPlaced), end);
+    }
+
+    fn client_ended(&mut self, at: Moment, sess: SessId) {
+        self.is_over(at, sess, Fate::ClientLeft, End::Client);
+    }
+
+    fn spurned(&mut self, at: Moment, sess: SessId) {
+        // Connections that never became a session are told so as well.
+        self.is_over(at, sess, Fate::NotProtocol, End::Otherwise);
+    }
+
+    fn moved(&mut self, at: Moment, sess: SessId) {
+        let end = if self.leaves { End::RelayStop } else { End::Moved };
+        self.is_over(at, sess, Fate::Unaccounted(Gap::NeverPlaced), end);
+    }
+
+    /// A final answer of the relay's own; what it is called depends on the dials before it.
+    fn answered(&mut self, at: Moment, sess: SessId, fate: fn(LastDial) -> Fate) {
+        self.expects(at, sess);
+        let Some(attempt) = self.active.get(&sess) else { return };
+        let fate = fate(attempt.last_dial());
+        self.is_over(at, sess, fate, End::Otherwise);
+    }
+
+    fn exits(&mut self) {
+        self.ends();
+        self.closing.clear();
+    }
+
+    /// What is undecided or open as a process ends; it ends with it.
+    fn ends(&mut self) {
+        let end = if self.leaves { End::RelayStop } else { End::RelayDied };
+        self.end_all(&Fate::RelayEnded, end);
+        self.running = false;
+    }
+
+    fn end_all(&mut self, fate: &Fate, end: End) {
+        let at = self.last;
+        for (_, attempt) in std::mem::take(&mut self.active) {
+            self.hand_on(attempt, at, fate, end);
+        }
+    }
+
+    /// An attempt of which this is the first word: its opening is not in the log.
+    fn expects(&mut self, at: Moment, sess: SessId) {
+        if self.active.contains_key(&sess) || !self.closing.insert(sess) {
+            return;
+        }
+        let opening = Opening { id: 0, key: 0, group: 0, returned: false, standing: false };
+        let attempt = Attempt::new(&self.name, at, opening, Origin::Missing);
+        let gap = Gap::NeverOpened;
+        self.hand_on(attempt, at, &Fate::Unaccounted(gap), End::Unaccounted(gap));
+    }
+
+    /// The attempt is over: by `fate` where it was not placed, else by `end`.
+    fn is_over(&mut self, at: Moment, sess: SessId, fate: Fate, end: End) {
+        let Some(attempt) = self.active.remove(&sess) else { return };
+        self.closing.insert(sess);
+        self.hand_on(attempt, at, &fate, end);
+    }
+
+    fn hand_on(&mut self, mut attempt: Attempt, at: Moment, fate: &Fate, end: End) {
+        attempt.over = at;
+        (attempt.fate, attempt.end) = match attempt.placed {
+            Some(_) => (Fate::Placed, Some(end)),
+            None => (fate.clone(), None),
+        };
+        self.done.push(attempt);
+    }
+}
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,11 +1,11 @@
 //! `hallrelay-lab`: the command line.
+mod serve_fleet;
+
 use clap::{Args, Parser, Subcommand};
 use hallrelay_config::scenario::{self, Scenario};
-use hallrelay_emulator::day::Day;
-use hallrelay_emulator::net::{places, Clock, Host};
 use hallrelay_emulator::service::Outcome;
 use hallrelay_lab::relays::Program;
-use hallrelay_lab::{cost, keys, members, pairs, report, sockets, virt};
+use hallrelay_lab::{cost, keys, losses, members, pairs, report, sockets, virt};
 use indicatif::{ProgressBar, ProgressStyle};
 use std::io::IsTerminal;
 use std::path::{Path, PathBuf};
@@ -99,6 +99,12 @@
         #[arg(long)]
         json: bool,
     },
+    /// Account for lost service from the logs of all relays, written at -vv: where offered sessions went,
+    /// second by second and in sum.
+    Losses {
+        #[command(flatten)]
+        plan: losses::Plan,
+    },
     /// Say again what a result was, and draw its page anew.
     Report {
         /// A result.json.
@@ -213,7 +219,10 @@
             }
             Ok(End::Well)
         }
-        What::ServeFleet { scenario, listen, config } => serve_fleet(scenario.as_deref(), listen, &config),
+        What::Losses { plan } => losses::run(&plan).map(|()| End::Well),
+        What::ServeFleet { scenario, listen, config } => {
+            serve_fleet::run(scenario.as_deref(), listen, &config)
+        }
         What::Report { result, html, json } => {
             let text = std::fs::read_to_string(&result).map_err(|e| format!("{}: {e}", result.display()))?;
             let o: Outcome = serde_json::from_str(&text).map_err(|e| format!("{}: {e}", result.display()))?;
@@ -462,39 +471,3 @@
     }
     Ok(End::Well)
 }
-
-fn serve_fleet(path: Option<&Path>, listen: std::net::SocketAddr, config: &Path) -> Result<End, String> {
-    let mut s = load(path)?;
-    // One relay, and no clients of ours.
-    (s.relays.count, s.load.rate.0, s.load.standing) = (1, 0.0, 0);
-    let stop = interrupts()?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.map_err(|e| format!("the runtime does not start: {e}"))?;
-    tokio::task::LocalSet::new().block_on(&runtime, async {
-        let clock = Clock::anchored();
-        let seed = s.seed;
-        let day = Day::new(&s, seed, clock.now());
-        let host = Host::new(day, clock, places(1, s.server_count())?, vec![listen]);
-        host.open_house.set(true);
-        sockets::serve_fleet(&host).await?;
-        sockets::write_config(&s, &sockets::place(0, seed, &host), &host, config)?;
-        println!("{} servers, list at {}", s.server_count(), host.list_at.borrow()[0]);
-        println!("start a relay with: hallrelay serve --config {}", config.display());
-        println!("its clients connect to {listen}; interrupt to end");
-        let interrupted = async {
-            while !stop.load(Ordering::Relaxed) {
-                tokio::time::sleep(std::time::Duration::from_millis(50)).await;
-            }
-        };
-        tokio::select! {
-            () = host.clone().run() => {
-                println!("the day is over; the servers go on as they are");
-                while !stop.load(Ordering::Relaxed) {
-                    tokio::time::sleep(std::time::Duration::from_millis(50)).await;
-                }
-            }
-            () = interrupted => {}
-        }
-        Ok(End::Well)
-    })
-}
--- /dev/null
+++ b/lab/tests/losses_form.rs
@@ -0,0 +1,232 @@
+//! The form of a relay's log, as `hallrelay-lab losses` reads it, against the types and the program that
+//! write it: a change of either is noticed here.
+use hallrelay::types::{DialEnd, Phase, Report};
+use hallrelay_config::list::{Instance, List};
+use hallrelay_lab::losses::parse::{line, Entry, Line, Opening};
+use hallrelay_relay::lines::Open;
+use hallrelay_relay::reducer::{Effect, Event};
+use std::fmt::Debug;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{TcpListener, TcpStream};
+use std::process::{Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// What a relay's line about an event or an effect is parsed to.
+fn parsed(kind: &str, what: &dyn Debug) -> Entry {
+    match line(&format!("Mar 04 12:00:00.001 TRCE {kind}, what: {what:?}")) {
+        Line::Logged { entry, .. } => entry,
+        other => panic!("{what:?}: {other:?}"),
+    }
+}
+
+fn event(event: Event) -> Entry {
+    parsed("event", &event)
+}
+
+fn effect(effect: Effect) -> Entry {
+    parsed("effect", &effect)
+}
+
+fn open(at: Option<&str>) -> Open {
+    Open {
+        id: 11,
+        listener: "a \"b\" } key: 9".to_string(),
+        key: 22,
+        group: 33,
+        returned: true,
+        wait_ms: 44,
+        wait_at: 5..7,
+        at: at.map(str::to_string),
+    }
+}
+
+#[test]
+fn openings_are_read_as_they_are_logged() {
+    for (at, standing) in [(None, false), (Some("oak"), true)] {
+        let opening = Opening { id: 11, key: 22, group: 33, returned: true, standing };
+        let entry = event(Event::Opened { sess: 7, open: open(at), left: 5 });
+        assert_eq!(entry, Entry::Opened { sess: 7, opening });
+    }
+    let mut inherited = Event::Inherited { sess: 8, session: Default::default() };
+    if let Event::Inherited { session, .. } = &mut inherited {
+        (session.mark, session.key, session.group, session.returned) = (11, 22, 33, true);
+        session.server = "oak".to_string();
+    }
+    let opening = Opening { id: 11, key: 22, group: 33, returned: true, standing: false };
+    assert_eq!(event(inherited), Entry::Inherited { sess: 8, opening, backend: "oak".to_string() });
+}
+
+#[test]
+fn events_of_sessions_are_read_as_they_are_logged() {
+    use DialEnd::{Error, Full, Moot, Ok, Recalled, Reset, Timeout, Unconnected};
+    for end in [Ok, Error, Full, Timeout, Unconnected, Reset, Recalled, Moot] {
+        let report = Some(Report { load: Some(0.5), piled: None, held: Some(3.0) });
+        let entry = event(Event::DialEnded { sess: 1, dial: 2, end, report });
+        assert_eq!(entry, Entry::DialEnded { sess: 1, dial: 2, end });
+        assert_eq!(event(Event::Ended { sess: 1, end, report: None }), Entry::Ended { sess: 1, end });
+    }
+    assert_eq!(event(Event::Came { conn: 1 }), Entry::Came { conn: 1 });
+    assert_eq!(event(Event::Departed { sess: 1 }), Entry::Departed { sess: 1 });
+    assert_eq!(event(Event::Gone { sess: 1 }), Entry::Gone { sess: 1 });
+    assert_eq!(event(Event::Passed { sess: 1 }), Entry::Passed { sess: 1 });
+    for other in [Event::Written, Event::Stop, Event::Unfit, Event::Took { sess: 1, time: 2 }] {
+        assert_eq!(event(other), Entry::OtherEvent);
+    }
+}
+
+#[test]
+fn effects_are_read_as_they_are_logged() {
+    let addr = "127.0.1.1:8000".parse().expect("an address");
+    let dial = Effect::Dial { sess: 1, dial: 2, addr, wait: 3, begin: 4 };
+    assert_eq!(effect(dial), Entry::Dial { sess: 1, addr });
+    assert_eq!(effect(Effect::Pass { sess: 1 }), Entry::Pass { sess: 1 });
+    assert_eq!(effect(Effect::Refuse { sess: 1, retry_after: 2 }), Entry::Refuse { sess: 1 });
+    assert_eq!(effect(Effect::TearDown { sess: 1 }), Entry::TearDown { sess: 1 });
+    assert_eq!(effect(Effect::Spurn { conn: 1 }), Entry::Spurn { sess: 1 });
+    assert_eq!(effect(Effect::Close { sess: 1 }), Entry::Close { sess: 1 });
+    assert_eq!(effect(Effect::Move { sess: 1 }), Entry::Move { sess: 1 });
+    assert_eq!(effect(Effect::Probe { server: 9, addr }), Entry::Probe { addr });
+    assert_eq!(effect(Effect::Exit), Entry::Exit);
+    let notes =
+        [("serving", "stopping", true), ("draining", "serving", false), ("serving", "draining", true)];
+    for (from, to, leaves) in notes {
+        let what = format!("from {from} to {to}");
+        assert_eq!(effect(Effect::Note { what }), Entry::Duty { leaves });
+    }
+    assert_eq!(effect(Effect::Note { what: "something else".to_string() }), Entry::OtherEvent);
+}
+
+#[test]
+fn probes_and_lists_are_read_as_they_are_logged() {
+    let report = Report { load: Some(0.005), piled: Some(1.0), held: None };
+    let probed = Event::Probed { server: 1, end: DialEnd::Ok, report: Some(report) };
+    assert_eq!(event(probed), Entry::Probed { end: DialEnd::Ok, report });
+    let probed = Event::Probed { server: 1, end: DialEnd::Timeout, report: None };
+    assert_eq!(event(probed), Entry::Probed { end: DialEnd::Timeout, report: Report::default() });
+    let instance = |id: &str, phase, came_up| Instance {
+        id: id.to_string(),
+        addr: "127.0.1.1:8000".parse().expect("an address"),
+        zone: "north, phase: Gone".to_string(),
+        cell: 3,
+        phase,
+        came_up,
+    };
+    let instances = vec![
+        instance("oak", Phase::Ready, 0),
+        instance("elm", Phase::Draining, 17),
+        instance("ash", Phase::Gone, 18),
+    ];
+    for instances in [instances, Vec::new()] {
+        let list = List { generation: 5, whole: true, instances, odd: Vec::new() };
+        assert_eq!(event(Event::List { watch: 2, list: list.clone() }), Entry::List(list));
+    }
+}
+
+#[test]
+fn a_line_that_is_cut_anywhere_is_no_entry() {
+    let what = Event::Opened { sess: 7, open: open(Some("oak")), left: 5 };
+    let text = format!("Mar 04 12:00:00.001 TRCE event, what: {what:?}");
+    let from = text.find("what: ").expect("it is there") + "what: ".len();
+    for end in from..text.len() {
+        assert_eq!(line(&text[..end]), Line::Cut, "{}", &text[..end]);
+    }
+}
+
+/// A backend that takes one session and ends it well.
+fn backend() -> (String, std::thread::JoinHandle<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let place = listener.local_addr().expect("an address").to_string();
+    let serve = move || {
+        // Connections that bring no session are probes, which the configuration forbids.
+        let (mut stream, _) = listener.accept().expect("a connection");
+        stream.set_read_timeout(Some(Duration::from_secs(10))).expect("a time");
+        let mut line = String::new();
+        BufReader::new(&stream).read_line(&mut line).expect("a line");
+        assert!(line.starts_with("OPEN "), "{line}");
+        stream.write_all(b"UP\r\n").expect("it goes out");
+        std::thread::sleep(Duration::from_millis(50));
+        stream.write_all(b"BYE\r\n").expect("it goes out");
+    };
+    (place, std::thread::spawn(serve))
+}
+
+/// The configuration of a relay that knows one backend.
+fn configuration(backend: &str) -> String {
+    let example = include_str!("../../deploy/example/relay.json");
+    let mut value: serde_json::Value = serde_json::from_str(example).expect("JSON");
+    value["known"]["instances"] = serde_json::json!([{"instanceId": "oak", "hostPort": backend,
+        "zone": "here", "cell": 0, "lifecycle": "up", "startedAtMs": 0}]);
+    value["settings"]["Ceilings"]["MayProbe"] = false.into();
+    value.to_string()
+}
+
+/// Asks a relay for a session, as soon as it takes connections; all that it answers.
+fn client(place: &str, line: &str) -> String {
+    let until = Instant::now() + Duration::from_secs(10);
+    let mut stream = loop {
+        match TcpStream::connect(place) {
+            Ok(stream) => break stream,
+            Err(e) => assert!(Instant::now() < until, "{place}: {e}"),
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    };
+    stream.set_read_timeout(Some(Duration::from_secs(10))).expect("a time");
+    stream.write_all(line.as_bytes()).expect("it goes out");
+    let mut heard = String::new();
+    std::io::Read::read_to_string(&mut stream, &mut heard).expect("an answer and its end");
+    heard
+}
+
+/// A process that is ended with the test, however that ends.
+struct Relay(std::process::Child);
+
+impl Relay {
+    /// Tells it to stop, and waits until it has.
+    fn stop(&mut self) {
+        // SAFETY: a signal to a process that this test has started and has not waited for.
+        unsafe { libc::kill(self.0.id() as i32, libc::SIGTERM) };
+        self.0.wait().expect("it ends");
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        _ = self.0.kill();
+        _ = self.0.wait();
+    }
+}
+
+/// A real relay's process: its log is accounted for whole.
+#[test]
+fn the_log_of_a_real_relay_is_accounted_for() {
+    let folder = std::env::temp_dir().join(format!("hallrelay-losses-form-{}", std::process::id()));
+    _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let (backend, serving) = backend();
+    std::fs::write(folder.join("relay.json"), configuration(&backend)).expect("a configuration");
+    let log = std::fs::File::create(folder.join("west.log")).expect("a log");
+    let free = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("an address");
+    let place = free.to_string();
+    let started = Command::new(env!("CARGO_BIN_EXE_hallrelay-lab"))
+        .args(["relay", "serve", "-vv", "--config"])
+        .arg(folder.join("relay.json"))
+        .args(["--listen", &place, "--discovery", "127.0.0.1:1"])
+        .env("TMPDIR", &folder)
+        .stdin(Stdio::null())
+        .stderr(log)
+        .spawn();
+    let mut relay = Relay(started.expect("it starts"));
+    let placed = client(&place, "OPEN 000000000000000a 000000000000004d c=schedule-view,d=1800,g=7\r\n");
+    let unknown = client(&place, "OPEN 000000000000000b 000000000000004e c=no-such,d=1800\r\n");
+    relay.stop();
+    serving.join().expect("the backend served");
+    let losses = hallrelay_lab::losses::read(&folder).expect("it is read");
+    _ = std::fs::remove_dir_all(&folder);
+    assert_eq!((placed.as_str(), unknown.as_str()), ("UP\r\nBYE\r\n", "ERR\r\n"));
+    let sum = &losses.sum;
+    assert_eq!((losses.read.processes, sum.attempts.opened), (1, 2), "{losses:?}");
+    assert_eq!((sum.attempts.fates.placed, sum.attempts.fates.not_protocol), (1, 1));
+    assert_eq!((sum.ends.done, sum.sessions.came_up, sum.fleet.open), (1, 1, 0));
+    assert_eq!((sum.fleet.ready, losses.unaccounted_in_all()), (1, 0));
+    assert_eq!((losses.read.cut, losses.read.unknown), (0, 0));
+}
