Split the decision module into files with one job each

Cause: one file of 721 non-blank lines held every decision, and a newcomer had to read all of it to find one. Change: src/logic.rs becomes src/logic/, a module each for the session's table, admission, the fleet's estimate, placement, slow start, rebalancing, the list and probes.

--- /dev/null
+++ b/src/logic/mod.rs
@@ -0,0 +1,154 @@
+//! All decisions of one relay (`docs/design.md`). Hand `Relay::step` every input in order of arrival with the
+//! clock of its batch, and carry out the effects it appends, in order. Nothing reads a clock or is shared.
+
+mod admission;
+mod estimate;
+mod memory;
+mod placement;
+mod probes;
+mod rebalance;
+mod server_list;
+mod session;
+mod slow_start;
+
+use crate::tools::{Chance, Flow, Ring};
+use crate::types::*;
+use estimate::Gauge;
+use session::{Rule, Sess, Sign, State};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+const SECOND: Micros = 1_000_000;
+const FULL: f64 = 0.75; // below this load a server has room for all, and nothing is gained by a move
+const GROUP: f64 = 4.0; // a group's cost on a server, in sessions; tried 2 and 8
+const POOL: usize = 3; // servers compared for a session: enough to miss what is full, few enough to be asked
+const LAG: Micros = SECOND; // that reports are refreshed and travel before an answer; tried 0.5 to 2 s
+
+/// What a relay knows of one server.
+#[derive(Default)]
+struct Server {
+    entry: Entry,
+    load: f64,
+    piled: f64,
+    held: f64, // sessions of all relays there; 0 where this is not told
+    heard: Option<Micros>,
+    delay: (f64, Micros), // seconds that a message took there, and when this was told
+    misses: u32,          // probes and connects in a row without an answer
+    turn: (Micros, f64),  // from when its part of the cold budget runs, and the part of a pause to its turn
+    asked: Micros,
+    awaited: bool,
+    relieved: Micros,
+    flow: Flow,
+}
+
+/// The decisions of one relay, with all that they rest on.
+#[derive(Default)]
+pub struct Relay {
+    site: SiteFacts,
+    rules: Vec<Rc<Rule>>, // a row for each listener, shared by its sessions
+    rng: Chance,
+    now: Micros,
+    started: bool,
+    servers: BTreeMap<ServerId, Server>,
+    sessions: BTreeMap<SessId, Sess>,
+    held: Vec<SessId>,
+    groups: BTreeMap<(ServerId, u64), u32>, // own open sessions of a group at a server
+    mean_load: f64,
+    n: u32,
+    net: Ring,
+    lost: Ring,    // sessions that left here and have not come again
+    returns: Ring, // sessions that came back from anywhere
+    dials: Ring,   // that servers took up, and those throttled
+    accepts: Ring, // of these, in time
+    bar: f64,      // piled-up work, in seconds, over which a server is congested
+    gauge: Gauge,
+    credit: f64, // probes that are paid for and not yet sent
+    watch_fails: u32,
+    watched: Micros, // when the list was last asked for
+}
+
+const PROBE: u32 = 0;
+const WATCH: u32 = 1;
+const HELD: u32 = 2;
+
+impl Relay {
+    /// A relay that knows nothing yet. `seed` draws its chances; `site` names one listener at least.
+    pub fn new(site: SiteFacts, seed: u64) -> Relay {
+        let gauge = Gauge { step: 0.02, ..Gauge::default() }; // a fiftieth of a server, till more is known
+        let mut relay = Relay { rng: Chance::new(seed), gauge, ..Relay::default() };
+        relay.facts(site);
+        relay
+    }
+
+    fn facts(&mut self, site: SiteFacts) {
+        let target = site.listeners.iter().map(|l| l.message_target).min().unwrap_or(SECOND) as f64 / 1e6;
+        let rule = |listener: &Listener| Rule { listener: listener.clone(), most_dials: site.most_dials };
+        self.rules = site.listeners.iter().map(|listener| Rc::new(rule(listener))).collect();
+        (self.bar, self.site, self.gauge.until) = (target, site, self.now);
+    }
+
+    /// Takes one input at `now`, in microseconds, never earlier than the last; appends its effects to `out`.
+    pub fn step(&mut self, now: Micros, input: Input, out: &mut Vec<Effect>) {
+        self.now = now;
+        if !std::mem::replace(&mut self.started, true) {
+            out.extend(self.site.must_watch.then_some(Effect::Watch));
+            out.extend(self.site.may_probe.then_some(Effect::Alarm { after: 1, label: PROBE }));
+        }
+        match input {
+            Input::List { kind, entries } => self.list(kind, entries, out),
+            Input::Facts(site) => {
+                let probes = site.may_probe && !self.site.may_probe;
+                self.facts(*site);
+                out.extend(probes.then_some(Effect::Alarm { after: 1, label: PROBE }));
+            }
+            Input::Remember { step, servers } => self.remember(step, servers),
+            Input::Asked { sess, asked } => {
+                self.take(sess, Sess { asked, ..Sess::default() });
+                self.play(sess, Sign::Room, out);
+            }
+            Input::AlreadyOpen { sess, server, asked } => {
+                self.take(sess, Sess { asked, server, state: State::Open, dials: 1, ..Sess::default() });
+                self.count(sess, 1);
+            }
+            Input::Stands { sess, .. } => {
+                self.dialled(sess, true);
+                self.play(sess, Sign::Stands, out);
+            }
+            Input::DialEnded { sess, dial, end, settled, report } if self.current(sess, dial) => {
+                self.dial_ended(sess, end, report);
+                self.play(sess, if settled { Sign::Settled } else { Sign::Fell }, out);
+            }
+            Input::Load { sess, load } => {
+                // A running mean over some fifty notes, to tell a heavy session from a light one.
+                self.mean_load += (load - self.mean_load) * if self.mean_load > 0.0 { 0.02 } else { 1.0 };
+                let weight = (load / self.mean_load.max(1e-9)).clamp(0.3, 3.0);
+                self.sessions.entry(sess).and_modify(|s| s.weight = weight);
+            }
+            Input::Delay { sess, delay } => {
+                let Some(server) = self.sessions.get(&sess).map(|s| s.server) else { return };
+                let Some(v) = self.servers.get_mut(&server) else { return };
+                v.delay = (delay, now);
+                self.relieve(server, out);
+            }
+            Input::Left { sess } => self.play(sess, Sign::Settled, out),
+            Input::Probed { server, end, report } => {
+                self.probed(server, end, report);
+                self.relieve(server, out);
+                self.room(Some(server), out);
+            }
+            Input::Alarm { label: PROBE } => self.beat(out),
+            Input::Alarm { label: WATCH } => {
+                self.watched = now;
+                out.push(Effect::Watch);
+            }
+            Input::Alarm { .. } => self.room(None, out),
+            _ => {} // of a dial or a session that is over
+        }
+    }
+
+    /// Whether a session is sent to a server now only where there is no other.
+    pub fn avoids(&self, now: Micros, server: ServerId) -> bool {
+        let Some(v) = self.servers.get(&server) else { return true };
+        !v.entry.ready() || v.misses > 0 || v.flow.faulty(now, 2.0, 0.25)
+    }
+}
--- /dev/null
+++ b/src/logic/placement.rs
@@ -0,0 +1,75 @@
+//! Placement: the pool of servers that a session may go to, and what it costs on each.
+
+use super::*;
+use crate::tools::{mix, Least};
+
+impl Relay {
+    /// The servers that a session may go to, best first: by tier, then whether they are full or across a
+    /// priced crossing, then by rank. Each server that holds any of a group pays for it (`GROUP`), so a group
+    /// keeps to its ranks, beyond `FULL` by that payment, and to few of the servers that warm up. Past the
+    /// thresholds, only cold ones with room where it is this relay's turn, which would else be lost.
+    pub(super) fn pool(&self, s: &Sess, g: &Gauge, only_turns: bool) -> Vec<ServerId> {
+        let grouped = s.asked.group != 0;
+        let full_from = FULL + if grouped { GROUP * g.step } else { 0.0 };
+        let cold_pool = if grouped { self.cold_pool(s) } else { vec![] };
+        let mut best = Least::new(POOL);
+        for v in self.servers.values().filter(|v| v.entry.ready()) {
+            let far = v.entry.zone != self.site.zone && self.site.price_crossing > 0.0 && !grouped;
+            let rank = rank(s, v);
+            // Most servers rank too low at their best, and cost no more than that.
+            let fits = || !only_turns || self.rare_turn(v, s, g);
+            let group_fits = || !grouped || self.warmth(v) >= 1.0 || cold_pool.contains(&v.entry.server);
+            let may = || self.legal(s, &v.entry) && self.cold_open(v, s, g) && fits() && group_fits();
+            if best.takes(&(0, false, far, rank, v.entry.server)) && may() {
+                let full = self.load_now(v, g) >= full_from;
+                best.add((self.tier(v, &s.tried), full, far, rank, v.entry.server));
+            }
+        }
+        best.into_iter().map(|b| b.4).collect()
+    }
+
+    /// The cold servers that a session's group ranks first.
+    fn cold_pool(&self, s: &Sess) -> Vec<ServerId> {
+        let mut best = Least::new(POOL);
+        let cold = self.servers.values().filter(|v| v.entry.ready() && self.warmth(v) < 1.0);
+        cold.for_each(|v| best.add((rank(s, v), v.entry.server)));
+        best.into_iter().map(|b| b.1).collect()
+    }
+
+    /// Rule 2: whether a session may be dialled at a server, after what may have run already.
+    fn legal(&self, s: &Sess, at: &Entry) -> bool {
+        let Some((since, zone, cell)) = s.ran else { return true };
+        match s.rule.listener.repeat {
+            Repeat::Repeatable => true,
+            Repeat::OnceOnly => false,
+            Repeat::Referenced { window, .. } if self.now >= since + window => false,
+            Repeat::Referenced { within: Within::All, .. } => true,
+            Repeat::Referenced { within: Within::Zone, .. } => zone == at.zone,
+            Repeat::Referenced { within: Within::Cell, .. } => cell == at.cell,
+        }
+    }
+
+    /// What one more session costs: service that it and others lose, a crossing, and a group's first session.
+    pub(super) fn cost(&self, v: &Server, s: &Sess, load: f64, place: usize, itself: u32) -> f64 {
+        const SHARP: f64 = 6.0; // how service falls as a server fills: messages that fit into their target
+        let others = self.groups.get(&(v.entry.server, s.asked.group)).is_some_and(|&m| m > itself);
+        let first = if others || s.asked.group == 0 { 0.0 } else { GROUP * place as f64 / POOL as f64 };
+        let crossing = if v.entry.zone == self.site.zone { 0.0 } else { self.site.price_crossing };
+        let lost = (-SHARP * (1.0 - load)).exp();
+        lost + (1.0 + first) * load * SHARP * lost + crossing
+    }
+
+    /// 0: uncongested and trusted; 1: congested; 2: tried or dropping sessions; 3: silent.
+    pub(super) fn tier(&self, v: &Server, tried: &[ServerId]) -> u8 {
+        match v.misses {
+            0 if tried.contains(&v.entry.server) || v.flow.faulty(self.now, 2.0, 0.25) => 2,
+            0 => u8::from(self.piled(v) > self.bar),
+            _ => 3,
+        }
+    }
+}
+
+/// A server's place in the order of a session's group, or of its own.
+fn rank(s: &Sess, v: &Server) -> u64 {
+    mix(s.salt ^ (u64::from(v.entry.server) << 32))
+}
--- /dev/null
+++ b/src/logic/probes.rs
@@ -0,0 +1,52 @@
+//! Probes: which server is asked for a report next, and what its answer changes.
+
+use super::*;
+
+impl Relay {
+    /// Asks a server for a report, unless an answer is awaited.
+    pub(super) fn probe(&mut self, server: ServerId, out: &mut Vec<Effect>) {
+        let Some(v) = self.servers.get_mut(&server).filter(|v| !v.awaited) else { return };
+        (v.asked, v.awaited) = (self.now, true);
+        self.credit -= 1.0;
+        out.push(Effect::Probe { server });
+    }
+
+    /// One probe, where more is saved up than six sessions need (1, 3, 12 tried), and the next beat.
+    pub(super) fn beat(&mut self, out: &mut Vec<Effect>) {
+        if !self.site.may_probe {
+            return;
+        }
+        let spare = self.credit - 6.0 * POOL as f64;
+        // What is saved up is spent over some eight seconds, no faster than twice a second on each server.
+        let least = SECOND as f64 / 2.0 / self.servers.len().max(1) as f64;
+        let after = (8.0 * SECOND as f64 / spare.max(4.0)).max(least) as Micros;
+        out.push(Effect::Alarm { after, label: PROBE });
+        let idle = self.servers.values().filter(|v| v.entry.ready() && !v.awaited && spare >= 1.0);
+        if let Some(server) = idle.min_by_key(|v| v.asked).map(|v| v.entry.server) {
+            self.probe(server, out);
+        }
+    }
+
+    /// Takes in a probe's answer; the estimate is read again with it.
+    pub(super) fn probed(&mut self, server: ServerId, end: DialEnd, report: Option<Report>) {
+        let Some(v) = self.servers.get_mut(&server) else { return };
+        v.awaited = false;
+        if end == DialEnd::Ok {
+            v.misses = 0;
+            v.hear(self.now, report);
+        } else if end != DialEnd::Full {
+            v.misses += 1; // a full one lives, and nothing else is learnt
+        }
+        self.gauge.until = self.now;
+    }
+}
+
+impl Server {
+    /// Keeps a report, where it tells a load.
+    pub(super) fn hear(&mut self, now: Micros, report: Option<Report>) {
+        if let Some(Report { load: Some(load), piled, held }) = report {
+            (self.heard, self.load) = (Some(now), load);
+            (self.piled, self.held) = (piled.unwrap_or(0.0), held.unwrap_or(0.0));
+        }
+    }
+}
