Decisions: plain names for sessions and the fleet's estimate

Cause: names of a house style that is withdrawn (Sess, Sign, Gauge, heard, bar) hide what the code does. The estimate's long lines are cut with locals, in the same order of operations.

--- a/src/logic/estimate.rs
+++ b/src/logic/estimate.rs
@@ -2,28 +2,28 @@
 
 use super::*;
 
-/// The fleet as HEU sees it, a server's mean load, one session's part of it, and how many relays do alike.
+/// The fleet as HEU sees it: `capacity`, `busy`, `congested` are the paper's c, x_busy, x_cong, in servers.
 #[derive(Clone, Copy, Default)]
-pub(super) struct Gauge {
-    pub(super) c: f64,
-    pub(super) x_busy: f64,
-    pub(super) x_cong: f64,
-    pub(super) mean: f64,
-    pub(super) step: f64,
-    pub(super) alike: f64,
-    pub(super) age: Micros, // of the answers, in the mean
-    pub(super) until: Micros,
+pub(super) struct FleetEstimate {
+    pub(super) capacity: f64,
+    pub(super) busy: f64,
+    pub(super) congested: f64,
+    pub(super) mean_load: f64,
+    pub(super) session_load: f64,  // a session's part of a server
+    pub(super) fleet_factor: f64,  // from this relay's own change to that of all relays
+    pub(super) report_age: Micros, // in the mean
+    pub(super) valid_until: Micros,
 }
 
 impl Relay {
     /// Read from the servers with fresh answers, as a sample of all that are ready and not silent.
-    pub(super) fn gauge(&mut self) -> Gauge {
+    pub(super) fn fleet_estimate(&mut self) -> FleetEstimate {
         const USABLE: f64 = 0.85; // how C is read: what fills before messages are late; tried 0.7, 0.85, 1
         const FEW: u32 = 16; // own sessions, of which chance is a quarter; with more these are steadier
         const PRIOR: f64 = 8.0; // sessions that the last figure counts for, beside those that servers hold
         const ROOM: f64 = 0.6; // a load that leaves the others room for a late one's; always and never tried
-        if self.now < self.gauge.until {
-            return self.gauge; // till the next answer; what is let in meanwhile is booked at once
+        if self.now < self.estimate.valid_until {
+            return self.estimate; // till the next answer; what is let in meanwhile is booked at once
         }
         let (mut all, mut own, mut held, mut sums) = (0.0, 0.0, 0.0, [0.0; 6]);
         for v in self.servers.values().filter(|v| v.entry.ready() && v.misses == 0) {
@@ -31,66 +31,66 @@
             all += warmth;
             // Where only a dial tells more, old answers can't go on refusing it.
             let counts = |t: &Micros| self.site.may_probe || self.now - t <= 3 * LAG;
-            let Some(heard) = v.heard.filter(counts) else {
-                own += warmth * f64::from(self.piled(v) > self.bar);
+            let Some(reported_at) = v.last_report.filter(counts) else {
+                own += warmth * f64::from(self.queue_delay(v) > self.queue_delay_limit);
                 continue;
             };
-            let (age, cong) = (self.now - heard, self.tier(v, &[]) > 0);
-            let full = (v.load + self.piled(v)).min(1.0);
+            let (age, cong) = (self.now - reported_at, self.tier(v, &[]) > 0);
+            let full = (v.load + self.queue_delay(v)).min(1.0);
             let one = [1.0, full, v.load, f64::from(cong), age as f64, full * f64::from(cong)];
             sums.iter_mut().zip(one).for_each(|(sum, x)| *sum += x * warmth);
-            held += v.held;
+            held += v.sessions;
         }
         let [k, load, asked, cong, age, late] = sums;
         let room = f64::from(load - late < ROOM * (k - cong));
         let load = load - late * room * (1.0 - cong / k.max(1e-9));
-        // All relays do alike, but the fewer its sessions the more is a relay's own change mere chance.
-        let alike = f64::from(self.site.relays) * f64::from(self.n) / (f64::from(self.n) + 8.0);
-        let mut g = Gauge { until: self.now + SECOND / 4, step: self.gauge.step, alike, ..Gauge::default() };
+        let (relays, own_sessions) = (f64::from(self.site.relays), f64::from(self.own_sessions));
+        let fleet_factor = relays * own_sessions / (own_sessions + 8.0);
+        let (valid_until, session_load) = (self.now + SECOND / 4, self.estimate.session_load);
+        let mut g = FleetEstimate { valid_until, session_load, fleet_factor, ..FleetEstimate::default() };
         if k > 0.0 {
-            (g.c, g.mean, g.x_cong) = (USABLE * all, load / k, cong / k * (all - own) + own);
-            g.age = (age / k) as Micros;
-            // What servers say they hold, where own sessions are few; else a running mean over seconds.
-            let open = f64::from(self.n) * f64::from(self.site.relays);
-            let step = (asked / k * all / open.max(1.0)).clamp(0.002, 0.05);
-            g.step = match held > 0.0 && self.n < FEW {
-                true => ((asked + PRIOR * g.step) / (held + PRIOR)).clamp(0.002, 0.05),
-                false => g.step + (step - g.step) * if self.gauge.c > 0.0 { 0.08 } else { 1.0 },
+            (g.capacity, g.mean_load, g.congested) = (USABLE * all, load / k, cong / k * (all - own) + own);
+            g.report_age = (age / k) as Micros;
+            let moment = (asked / k * all / (own_sessions * relays).max(1.0)).clamp(0.002, 0.05);
+            let gain = if self.estimate.capacity > 0.0 { 0.08 } else { 1.0 };
+            g.session_load = match held > 0.0 && self.own_sessions < FEW {
+                true => ((asked + PRIOR * g.session_load) / (held + PRIOR)).clamp(0.002, 0.05),
+                false => g.session_load + (moment - g.session_load) * gain,
             };
-            let since = self.net.sum(self.now, g.age + LAG);
-            g.x_busy = (g.mean * (all - own) + own + since * alike * g.step).max(0.0);
+            let since = self.net_sessions.sum(self.now, g.report_age + LAG);
+            g.busy = (g.mean_load * (all - own) + own + since * fleet_factor * g.session_load).max(0.0);
         }
-        self.gauge = g;
+        self.estimate = g;
         g
     }
 
     /// The work piled up, as probed or as a message of an open session felt it; it counts while it is news.
-    pub(super) fn piled(&self, v: &Server) -> f64 {
+    pub(super) fn queue_delay(&self, v: &Server) -> f64 {
         let news = |then: Micros| f64::from(self.now - then < 2 * SECOND); // delays are told anew each second
-        (v.piled * v.heard.map_or(0.0, news)).max(v.delay.0 * news(v.delay.1))
+        (v.queue_delay * v.last_report.map_or(0.0, news)).max(v.message_delay.0 * news(v.message_delay.1))
     }
 
-    /// The probed load, or the mean where none was heard, with what was placed since, times who does alike.
-    pub(super) fn load_now(&self, v: &Server, g: &Gauge) -> f64 {
-        let since = v.flow.net.sum(self.now, v.heard.map_or(0, |t| self.now - t) + LAG);
-        let told = v.heard.map_or_else(|| g.mean * self.warmth(v), |_| v.load); // as it warmed
-        let base = told + self.piled(v) + g.step * since * g.alike.min(4.0); // at most four alike: tried 2, 8
-        base.max(f64::from(self.piled(v) > self.bar)) // where messages are late all is taken
+    /// The reported load, or the mean, with what this relay placed since, times four at most (tried 2 and 8).
+    pub(super) fn current_load(&self, v: &Server, g: &FleetEstimate) -> f64 {
+        let since = v.flow.net.sum(self.now, v.last_report.map_or(0, |t| self.now - t) + LAG);
+        let told = v.last_report.map_or_else(|| g.mean_load * self.warmth(v), |_| v.load); // as it warmed
+        let base = told + self.queue_delay(v) + g.session_load * since * g.fleet_factor.min(4.0);
+        base.max(f64::from(self.queue_delay(v) > self.queue_delay_limit)) // late: full
     }
 
     /// Books a session on its server, or off it: from the dial on, so that what is under way counts.
-    pub(super) fn count(&mut self, sess: SessId, by: i32) {
+    pub(super) fn book(&mut self, sess: SessId, by: i32) {
         let s = &self.sessions[&sess];
         let weight = if by > 0 && s.state == State::Open { 0.0 } else { s.weight }; // in the reports already
-        let (change, key) = (f64::from(by) * weight, (s.server, s.asked.group));
-        self.n = self.n.saturating_add_signed(by);
+        let (change, key) = (f64::from(by) * weight, (s.server, s.request.group));
+        self.own_sessions = self.own_sessions.saturating_add_signed(by);
         // Who comes back and was not here has changed relays: its load is reported. A fifth may be chance.
-        let back = by > 0 && s.asked.returned;
-        let moved = back && self.lost.sum(self.now, 8 * SECOND) < -0.2 * f64::from(self.n);
-        self.lost.add(self.now, f64::from(-by * i32::from(by < 0 || back && !moved)));
+        let back = by > 0 && s.request.returned;
+        let moved = back && self.disconnects.sum(self.now, 8 * SECOND) < -0.2 * f64::from(self.own_sessions);
+        self.disconnects.add(self.now, f64::from(-by * i32::from(by < 0 || back && !moved)));
         let news = if moved { 0.0 } else { change };
-        self.net.add(self.now, news);
-        self.gauge.x_busy += news * self.gauge.alike * self.gauge.step;
+        self.net_sessions.add(self.now, news);
+        self.estimate.busy += news * self.estimate.fleet_factor * self.estimate.session_load;
         let members = self.groups.entry(key).or_insert(0);
         *members = members.saturating_add_signed(by);
         if *members == 0 || key.1 == 0 {
--- a/src/logic/memory.rs
+++ b/src/logic/memory.rs
@@ -9,28 +9,28 @@
     /// What goes on with the process that takes this one's place: the two are one relay, with one budget.
     pub fn memory(&self, now: Micros) -> (f64, Vec<Memory>) {
         let one = |(&server, v): (&ServerId, &super::Server)| {
-            let report = Report { load: Some(v.load), piled: Some(v.piled), held: Some(v.held) };
-            let (report, misses) = (v.heard.map(|then| (now.saturating_sub(then), report)), v.misses);
+            let report = Report { load: Some(v.load), piled: Some(v.queue_delay), held: Some(v.sessions) };
+            let (report, misses) = (v.last_report.map(|then| (now.saturating_sub(then), report)), v.misses);
             let placed = v.flow.net.sum(now, PLACED_WITHIN);
             Memory { server, report, misses, placed, turn: (now.saturating_sub(v.turn.0), v.turn.1) }
         };
-        (self.gauge.step, self.servers.iter().map(one).collect())
+        (self.estimate.session_load, self.servers.iter().map(one).collect())
     }
 
     /// Takes up what the process before knew; what this one has heard or done itself is newer.
     pub(super) fn remember(&mut self, step: f64, servers: Vec<Memory>) {
-        self.gauge.step = step.clamp(0.002, 0.05);
+        self.estimate.session_load = step.clamp(0.002, 0.05);
         for m in servers {
             let Some(v) = self.servers.get_mut(&m.server) else { continue };
             let then = |ago| self.now.saturating_sub(ago);
-            if let Some((ago, report)) = m.report.filter(|r| v.heard.is_none_or(|t| t < then(r.0))) {
+            if let Some((ago, report)) = m.report.filter(|r| v.last_report.is_none_or(|t| t < then(r.0))) {
                 v.hear(then(ago), Some(report));
                 v.misses = m.misses;
             }
             v.turn = (then(m.turn.0), m.turn.1);
             v.flow.net.add(self.now, m.placed);
-            self.net.add(self.now, m.placed);
+            self.net_sessions.add(self.now, m.placed);
         }
-        self.gauge.until = self.now;
+        self.estimate.valid_until = self.now;
     }
 }
--- a/src/logic/mod.rs
+++ b/src/logic/mod.rs
@@ -11,12 +11,11 @@
 mod session;
 mod slow_start;
 
-use crate::tools::{Chance, Flow, Ring};
+use crate::tools::{mix, Chance, Flow, Least, Ring};
 use crate::types::*;
-use estimate::Gauge;
-use session::{Rule, Sess, Sign, State};
-use std::collections::BTreeMap;
-use std::rc::Rc;
+use estimate::FleetEstimate;
+use session::{Event, Rule, Session, State};
+use std::{collections::BTreeMap, rc::Rc};
 
 const SECOND: Micros = 1_000_000;
 const FULL: f64 = 0.75; // below this load a server has room for all, and nothing is gained by a move
@@ -29,12 +28,12 @@
 struct Server {
     entry: Entry,
     load: f64,
-    piled: f64,
-    held: f64, // sessions of all relays there; 0 where this is not told
-    heard: Option<Micros>,
-    delay: (f64, Micros), // seconds that a message took there, and when this was told
-    misses: u32,          // probes and connects in a row without an answer
-    turn: (Micros, f64),  // from when its part of the cold budget runs, and the part of a pause to its turn
+    queue_delay: f64, // seconds, as reported
+    sessions: f64,    // of all relays there; 0 where this is not reported
+    last_report: Option<Micros>,
+    message_delay: (f64, Micros), // seconds that a message took there, and when this was measured
+    misses: u32,                  // probes and connects in a row without an answer
+    turn: (Micros, f64), // from when its part of the cold budget runs, and the part of a pause to its turn
     asked: Micros,
     awaited: bool,
     relieved: Micros,
@@ -50,18 +49,18 @@
     now: Micros,
     started: bool,
     servers: BTreeMap<ServerId, Server>,
-    sessions: BTreeMap<SessId, Sess>,
-    held: Vec<SessId>,
+    sessions: BTreeMap<SessId, Session>,
+    held_sessions: Vec<SessId>,
     groups: BTreeMap<(ServerId, u64), u32>, // own open sessions of a group at a server
     mean_load: f64,
-    n: u32,
-    net: Ring,
-    lost: Ring,    // sessions that left here and have not come again
-    returns: Ring, // sessions that came back from anywhere
-    dials: Ring,   // that servers took up, and those throttled
-    accepts: Ring, // of these, in time
-    bar: f64,      // piled-up work, in seconds, over which a server is congested
-    gauge: Gauge,
+    own_sessions: u32,      // dialled and open
+    net_sessions: Ring,     // dialled, less those that ended
+    disconnects: Ring,      // sessions that left here and have not come again
+    reconnects: Ring,       // sessions that came back from anywhere
+    dials: Ring,            // that servers took up, and those throttled
+    accepts: Ring,          // of these, in time
+    queue_delay_limit: f64, // in seconds, over which a server is congested
+    estimate: FleetEstimate,
     credit: f64, // probes that are paid for and not yet sent
     watch_fails: u32,
     watched: Micros, // when the list was last asked for
@@ -74,8 +73,8 @@
 impl Relay {
     /// A relay that knows nothing yet. `seed` draws its chances; `site` names one listener at least.
     pub fn new(site: SiteFacts, seed: u64) -> Relay {
-        let gauge = Gauge { step: 0.02, ..Gauge::default() }; // a fiftieth of a server, till more is known
-        let mut relay = Relay { rng: Chance::new(seed), gauge, ..Relay::default() };
+        let estimate = FleetEstimate { session_load: 0.02, ..FleetEstimate::default() }; // till more is known
+        let mut relay = Relay { rng: Chance::new(seed), estimate, ..Relay::default() };
         relay.facts(site);
         relay
     }
@@ -84,7 +83,7 @@
         let target = site.listeners.iter().map(|l| l.message_target).min().unwrap_or(SECOND) as f64 / 1e6;
         let rule = |listener: &Listener| Rule { listener: listener.clone(), most_dials: site.most_dials };
         self.rules = site.listeners.iter().map(|listener| Rc::new(rule(listener))).collect();
-        (self.bar, self.site, self.gauge.until) = (target, site, self.now);
+        (self.queue_delay_limit, self.site, self.estimate.valid_until) = (target, site, self.now);
     }
 
     /// Takes one input at `now`, in microseconds, never earlier than the last; appends its effects to `out`.
@@ -103,20 +102,21 @@
             }
             Input::Remember { step, servers } => self.remember(step, servers),
             Input::Asked { sess, asked } => {
-                self.take(sess, Sess { asked, ..Sess::default() });
-                self.play(sess, Sign::Room, out);
+                self.admit(sess, Session { request: asked, ..Session::default() });
+                self.advance(sess, Event::Reconsider, out);
             }
             Input::AlreadyOpen { sess, server, asked } => {
-                self.take(sess, Sess { asked, server, state: State::Open, dials: 1, ..Sess::default() });
-                self.count(sess, 1);
+                let state = State::Open;
+                self.admit(sess, Session { request: asked, server, state, dials: 1, ..Session::default() });
+                self.book(sess, 1);
             }
             Input::Stands { sess, .. } => {
-                self.dialled(sess, true);
-                self.play(sess, Sign::Stands, out);
+                self.count_dial(sess, true);
+                self.advance(sess, Event::Established, out);
             }
-            Input::DialEnded { sess, dial, end, settled, report } if self.current(sess, dial) => {
+            Input::DialEnded { sess, dial, end, settled, report } if self.is_last_dial(sess, dial) => {
                 self.dial_ended(sess, end, report);
-                self.play(sess, if settled { Sign::Settled } else { Sign::Fell }, out);
+                self.advance(sess, if settled { Event::Ended } else { Event::DialFailed }, out);
             }
             Input::Load { sess, load } => {
                 // A running mean over some fifty notes, to tell a heavy session from a light one.
@@ -127,21 +127,21 @@
             Input::Delay { sess, delay } => {
                 let Some(server) = self.sessions.get(&sess).map(|s| s.server) else { return };
                 let Some(v) = self.servers.get_mut(&server) else { return };
-                v.delay = (delay, now);
+                v.message_delay = (delay, now);
                 self.relieve(server, out);
             }
-            Input::Left { sess } => self.play(sess, Sign::Settled, out),
+            Input::Left { sess } => self.advance(sess, Event::Ended, out),
             Input::Probed { server, end, report } => {
                 self.probed(server, end, report);
                 self.relieve(server, out);
-                self.room(Some(server), out);
+                self.reconsider_held(Some(server), out);
             }
             Input::Alarm { label: PROBE } => self.beat(out),
             Input::Alarm { label: WATCH } => {
                 self.watched = now;
                 out.push(Effect::Watch);
             }
-            Input::Alarm { .. } => self.room(None, out),
+            Input::Alarm { .. } => self.reconsider_held(None, out),
             _ => {} // of a dial or a session that is over
         }
     }
--- a/src/logic/placement.rs
+++ b/src/logic/placement.rs
@@ -1,16 +1,15 @@
 //! Placement: the pool of servers that a session may go to, and what it costs on each.
 
 use super::*;
-use crate::tools::{mix, Least};
 
 impl Relay {
     /// The servers that a session may go to, best first: by tier, then whether they are full or across a
     /// priced crossing, then by rank. Each server that holds any of a group pays for it (`GROUP`), so a group
     /// keeps to its ranks, beyond `FULL` by that payment, and to few of the servers that warm up. Past the
     /// thresholds, only cold ones with room where it is this relay's turn, which would else be lost.
-    pub(super) fn pool(&self, s: &Sess, g: &Gauge, only_turns: bool) -> Vec<ServerId> {
-        let grouped = s.asked.group != 0;
-        let full_from = FULL + if grouped { GROUP * g.step } else { 0.0 };
+    pub(super) fn pool(&self, s: &Session, g: &FleetEstimate, only_turns: bool) -> Vec<ServerId> {
+        let grouped = s.request.group != 0;
+        let full_from = FULL + if grouped { GROUP * g.session_load } else { 0.0 };
         let cold_pool = if grouped { self.cold_pool(s) } else { vec![] };
         let mut best = Least::new(POOL);
         for v in self.servers.values().filter(|v| v.entry.ready()) {
@@ -21,7 +20,7 @@
             let group_fits = || !grouped || self.warmth(v) >= 1.0 || cold_pool.contains(&v.entry.server);
             let may = || self.legal(s, &v.entry) && self.cold_open(v, s, g) && fits() && group_fits();
             if best.takes(&(0, false, far, rank, v.entry.server)) && may() {
-                let full = self.load_now(v, g) >= full_from;
+                let full = self.current_load(v, g) >= full_from;
                 best.add((self.tier(v, &s.tried), full, far, rank, v.entry.server));
             }
         }
@@ -29,7 +28,7 @@
     }
 
     /// The cold servers that a session's group ranks first.
-    fn cold_pool(&self, s: &Sess) -> Vec<ServerId> {
+    fn cold_pool(&self, s: &Session) -> Vec<ServerId> {
         let mut best = Least::new(POOL);
         let cold = self.servers.values().filter(|v| v.entry.ready() && self.warmth(v) < 1.0);
         cold.for_each(|v| best.add((rank(s, v), v.entry.server)));
@@ -37,8 +36,8 @@
     }
 
     /// Rule 2: whether a session may be dialled at a server, after what may have run already.
-    fn legal(&self, s: &Sess, at: &Entry) -> bool {
-        let Some((since, zone, cell)) = s.ran else { return true };
+    fn legal(&self, s: &Session, at: &Entry) -> bool {
+        let Some((since, zone, cell)) = s.may_have_run else { return true };
         match s.rule.listener.repeat {
             Repeat::Repeatable => true,
             Repeat::OnceOnly => false,
@@ -50,10 +49,10 @@
     }
 
     /// What one more session costs: service that it and others lose, a crossing, and a group's first session.
-    pub(super) fn cost(&self, v: &Server, s: &Sess, load: f64, place: usize, itself: u32) -> f64 {
+    pub(super) fn cost(&self, v: &Server, s: &Session, load: f64, place: usize, itself: u32) -> f64 {
         const SHARP: f64 = 6.0; // how service falls as a server fills: messages that fit into their target
-        let others = self.groups.get(&(v.entry.server, s.asked.group)).is_some_and(|&m| m > itself);
-        let first = if others || s.asked.group == 0 { 0.0 } else { GROUP * place as f64 / POOL as f64 };
+        let others = self.groups.get(&(v.entry.server, s.request.group)).is_some_and(|&m| m > itself);
+        let first = if others || s.request.group == 0 { 0.0 } else { GROUP * place as f64 / POOL as f64 };
         let crossing = if v.entry.zone == self.site.zone { 0.0 } else { self.site.price_crossing };
         let lost = (-SHARP * (1.0 - load)).exp();
         lost + (1.0 + first) * load * SHARP * lost + crossing
@@ -63,13 +62,13 @@
     pub(super) fn tier(&self, v: &Server, tried: &[ServerId]) -> u8 {
         match v.misses {
             0 if tried.contains(&v.entry.server) || v.flow.faulty(self.now, 2.0, 0.25) => 2,
-            0 => u8::from(self.piled(v) > self.bar),
+            0 => u8::from(self.queue_delay(v) > self.queue_delay_limit),
             _ => 3,
         }
     }
 }
 
 /// A server's place in the order of a session's group, or of its own.
-fn rank(s: &Sess, v: &Server) -> u64 {
-    mix(s.salt ^ (u64::from(v.entry.server) << 32))
+fn rank(s: &Session, v: &Server) -> u64 {
+    mix(s.hash_key ^ (u64::from(v.entry.server) << 32))
 }
--- a/src/logic/probes.rs
+++ b/src/logic/probes.rs
@@ -37,7 +37,7 @@
         } else if end != DialEnd::Full {
             v.misses += 1; // a full one lives, and nothing else is learnt
         }
-        self.gauge.until = self.now;
+        self.estimate.valid_until = self.now;
     }
 }
 
@@ -45,8 +45,8 @@
     /// Keeps a report, where it tells a load.
     pub(super) fn hear(&mut self, now: Micros, report: Option<Report>) {
         if let Some(Report { load: Some(load), piled, held }) = report {
-            (self.heard, self.load) = (Some(now), load);
-            (self.piled, self.held) = (piled.unwrap_or(0.0), held.unwrap_or(0.0));
+            (self.last_report, self.load) = (Some(now), load);
+            (self.queue_delay, self.sessions) = (piled.unwrap_or(0.0), held.unwrap_or(0.0));
         }
     }
 }
--- a/src/logic/rebalance.rs
+++ b/src/logic/rebalance.rs
@@ -7,46 +7,48 @@
     pub(super) fn relieve(&mut self, server: ServerId, out: &mut Vec<Effect>) {
         const DOUBT: f64 = 0.15; // a move's gain beyond its price: gap, set-up, doubt about old answers
         let Some(v) = self.servers.get(&server) else { return };
-        if self.load_now(v, &self.gauge) < FULL || !v.entry.ready() || self.now - v.relieved < LAG {
+        if self.current_load(v, &self.estimate) < FULL || !v.entry.ready() || self.now - v.relieved < LAG {
             return; // what was moved does not show yet
         }
-        let g = self.gauge();
+        let g = self.fleet_estimate();
         let v = &self.servers[&server];
-        let load = self.load_now(v, &g).max(FULL);
+        let load = self.current_load(v, &g).max(FULL);
         // In a slow-down that all share no server is better: some are cut off, for the rest to be well.
-        let shed = v.heard == Some(self.now) && load > 1.0 && self.tier(v, &[]) > 0 && g.x_cong > g.c / 2.0;
-        // Those first whose leaving frees most: the heavy, and the last of a group.
-        let last = |s: &Sess| self.groups.get(&(server, s.asked.group)) == Some(&1);
-        let frees = |s: &Sess| s.weight + if last(s) { GROUP } else { 0.0 };
+        let shed = v.last_report == Some(self.now)
+            && load > 1.0
+            && self.tier(v, &[]) > 0
+            && g.congested > g.capacity / 2.0;
+        let last = |s: &Session| self.groups.get(&(server, s.request.group)) == Some(&1);
+        let frees = |s: &Session| s.weight + if last(s) { GROUP } else { 0.0 };
         let open = self.sessions.iter().filter(|(_, s)| s.server == server && s.state == State::Open);
         let mut mine: Vec<_> = open.map(|(&id, s)| (shed && self.high(s), frees(s), id)).collect();
         mine.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.total_cmp(&a.1)));
         // The way down to the others' mean, in own sessions: half of it, or all where messages here are late.
-        let late = shed || self.tier(v, &[]) > 0 && g.x_busy < FULL * g.c - g.x_cong;
-        let way = (load - (g.x_busy / g.c.max(1.0)).min(FULL)) * if late { 1.0 } else { 0.5 };
+        let late = shed || self.tier(v, &[]) > 0 && g.busy < FULL * g.capacity - g.congested;
+        let way = (load - (g.busy / g.capacity.max(1.0)).min(FULL)) * if late { 1.0 } else { 0.5 };
         let mut excess = mine.iter().map(|m| m.1).sum::<f64>() * way / load;
         for (_, frees, sess) in mine {
-            // Less than one session is moved by chance, or with many relays nobody would move, or everybody.
+            // Less than one session is moved by chance: all relays together move the right number.
             if excess < frees && !self.rng.hits(excess / frees) {
                 break;
             }
             if shed || self.gain(sess, load, &g) > self.site.price_move + DOUBT {
                 excess -= frees;
-                self.play(sess, Sign::Hot, out);
+                self.advance(sess, Event::Rebalance, out);
                 self.servers.get_mut(&server).expect("just read").relieved = self.now;
             }
         }
     }
 
     /// What a session would lose less where its pool would place it now than where it is.
-    fn gain(&self, sess: SessId, load: f64, g: &Gauge) -> f64 {
+    fn gain(&self, sess: SessId, load: f64, g: &FleetEstimate) -> f64 {
         let s = &self.sessions[&sess];
         let pool = self.pool(s, g, false);
         let place = pool.iter().position(|id| *id == s.server).unwrap_or(POOL);
         let here = self.cost(&self.servers[&s.server], s, load.min(1.2), place, 1);
         let costs = pool.into_iter().enumerate().filter_map(|(i, id)| {
             let v = &self.servers[&id];
-            let load = self.load_now(v, g) + g.step * s.weight;
+            let load = self.current_load(v, g) + g.session_load * s.weight;
             let usable = id != s.server && self.tier(v, &[]) == 0;
             (usable && load < FULL).then(|| self.cost(v, s, load, i, 0))
         });
--- a/src/logic/server_list.rs
+++ b/src/logic/server_list.rs
@@ -1,14 +1,13 @@
 //! The list of servers: what its service tells, and when it is asked again.
 
 use super::*;
-use crate::tools::mix;
 
 impl Relay {
     /// Takes in what the list's service told, or plans the next call where it broke.
     pub(super) fn list(&mut self, kind: ListKind, entries: Vec<Entry>, out: &mut Vec<Effect>) {
         if kind == ListKind::Broken {
-            // Ask again, more and more slowly, spread over the relays. The list counts 6 s after it can be
-            // reached: waits run from the last call, and leave 2 s for an answer.
+            // Ask again, ever more slowly, spread over the relays. Waits run from the last call: the longest
+            // leaves 2 s for an answer, of the 6 s after which the list counts once it can be reached.
             let (pace, spread) = ([1, 2, 3][self.watch_fails as usize] * SECOND, self.rng.below(SECOND));
             let took = if self.watch_fails > 0 { self.now - self.watched } else { 0 };
             let after = (pace + spread).saturating_sub(took).max(spread / 2);
--- a/src/logic/slow_start.rs
+++ b/src/logic/slow_start.rs
@@ -11,20 +11,20 @@
     }
 
     /// Rule 4: whether this relay's part of a cold server's budget has room again.
-    pub(super) fn cold_open(&self, v: &Server, s: &Sess, g: &Gauge) -> bool {
+    pub(super) fn cold_open(&self, v: &Server, s: &Session, g: &FleetEstimate) -> bool {
         let turn = || (self.now - v.turn.0) as f64 >= v.turn.1 * self.pause(v, g);
-        self.warmth(v) >= 1.0 || !s.herd && turn()
+        self.warmth(v) >= 1.0 || !s.in_storm && turn()
     }
 
     /// Whether a session that comes back is one too many for the cold servers, where all relays have turns
     /// left unused: each goes there with the chance that keeps them within what these servers bear.
     pub(super) fn herd(&mut self) -> bool {
         // Beside itself; in a burst, or for a while (sums reach a quarter of a second further in the mean).
-        let beside = |back: Micros| self.returns.sum(self.now, back.saturating_sub(SECOND / 4)) - 1.0;
+        let beside = |back: Micros| self.reconnects.sum(self.now, back.saturating_sub(SECOND / 4)) - 1.0;
         let (fall, long) = (self.site.fall, 4 * SECOND);
         let came = beside(fall).max(beside(long) * fall as f64 / long as f64);
         let all = came * f64::from(self.site.relays);
-        let budget = |v: &Server| fall as f64 * self.bears(v, self.gauge.step);
+        let budget = |v: &Server| fall as f64 * self.bears(v, self.estimate.session_load);
         // Where the turns of all relays at once are no more than chance may add, turns alone hold the budget.
         let few = |n: f64| f64::from(self.site.relays) <= n + 2.0 * n.sqrt() + 2.0;
         let cold = self.servers.values().filter(|v| v.entry.ready() && self.warmth(v) < 1.0);
@@ -33,17 +33,17 @@
     }
 
     /// Whether an open turn here counts past the thresholds: not where turns come every second or two.
-    pub(super) fn rare_turn(&self, v: &Server, s: &Sess, g: &Gauge) -> bool {
+    pub(super) fn rare_turn(&self, v: &Server, s: &Session, g: &FleetEstimate) -> bool {
         let rare = self.warmth(v) < 1.0 && self.pause(v, g) > (4 * LAG) as f64;
-        rare && self.tier(v, &s.tried) == 0 && self.load_now(v, g) < FULL
+        rare && self.tier(v, &s.tried) == 0 && self.current_load(v, g) < FULL
     }
 
     /// The time from one of this relay's turns at a cold server to the next.
-    fn pause(&self, v: &Server, g: &Gauge) -> f64 {
+    fn pause(&self, v: &Server, g: &FleetEstimate) -> f64 {
         // 1.4 for one relay, 4 for a hundred: the more share a server, the fewer have a session just then.
         let others = f64::from(self.site.relays - 1);
         let overbook = 1.4 + 3.6 * others / (others + 40.0);
-        f64::from(self.site.relays) / overbook / self.bears(v, g.step)
+        f64::from(self.site.relays) / overbook / self.bears(v, g.session_load)
     }
 
     /// The sessions a microsecond that a cold server bears of all relays, by its warmth now.
