--- a/src/logic/admission.rs
+++ b/src/logic/admission.rs
@@ -16,10 +16,10 @@
         let over = self.now >= s.deadline || s.dials >= s.rule.most_dials;
         let refused = s.dials == 0 && !self.admits(s, &g);
         let stale = g.report_age > 2 * LAG && self.now < s.probe_deadline;
-        let pool_for = |only_turns| if over { vec![] } else { self.pool(s, &g, only_turns) };
+        let pool_for = |only_slots| if over { vec![] } else { self.pool(s, &g, only_slots) };
         let pool = pool_for(refused && !stale);
         let asks = |v: &Server| v.misses == 0 && v.last_report.is_none_or(|t| self.now - t > LAG);
-        let paid = |v: &Server| self.site.may_probe && (v.awaited || self.credit >= 1.0);
+        let paid = |v: &Server| self.site.may_probe && (v.probe_pending || self.probe_credit >= 1.0);
         let mut awaited = pool.clone();
         awaited.retain(|id| asks(&self.servers[id]) && paid(&self.servers[id]));
         if !awaited.is_empty() && self.now < s.probe_deadline {
--- a/src/logic/estimate.rs
+++ b/src/logic/estimate.rs
@@ -18,7 +18,7 @@
 impl Relay {
     /// Read from the servers with fresh answers, as a sample of all that are ready and not silent.
     pub(super) fn fleet_estimate(&mut self) -> FleetEstimate {
-        const USABLE: f64 = 0.85; // how C is read: what fills before messages are late; tried 0.7, 0.85, 1
+        const USABLE: f64 = 0.85; // how c is read: what fills before messages are late; tried 0.7, 0.85, 1
         const FEW: u32 = 16; // own sessions, of which chance is a quarter; with more these are steadier
         const PRIOR: f64 = 8.0; // sessions that the last figure counts for, beside those that servers hold
         const ROOM: f64 = 0.6; // a load that leaves the others room for a late one's; always and never tried
@@ -41,7 +41,7 @@
             sums.iter_mut().zip(one).for_each(|(sum, x)| *sum += x * warmth);
             held += v.sessions;
         }
-        let [k, load, asked, cong, age, late] = sums;
+        let [k, load, demand, cong, age, late] = sums;
         let room = f64::from(load - late < ROOM * (k - cong));
         let load = load - late * room * (1.0 - cong / k.max(1e-9));
         let (relays, own_sessions) = (f64::from(self.site.relays), f64::from(self.own_sessions));
@@ -51,10 +51,10 @@
         if k > 0.0 {
             (g.capacity, g.mean_load, g.congested) = (USABLE * all, load / k, cong / k * (all - own) + own);
             g.report_age = (age / k) as Micros;
-            let moment = (asked / k * all / (own_sessions * relays).max(1.0)).clamp(0.002, 0.05);
+            let moment = (demand / k * all / (own_sessions * relays).max(1.0)).clamp(0.002, 0.05);
             let gain = if self.estimate.capacity > 0.0 { 0.08 } else { 1.0 };
             g.session_load = match held > 0.0 && self.own_sessions < FEW {
-                true => ((asked + PRIOR * g.session_load) / (held + PRIOR)).clamp(0.002, 0.05),
+                true => ((demand + PRIOR * g.session_load) / (held + PRIOR)).clamp(0.002, 0.05),
                 false => g.session_load + (moment - g.session_load) * gain,
             };
             let since = self.net_sessions.sum(self.now, g.report_age + LAG);
@@ -64,17 +64,17 @@
         g
     }
 
-    /// The work piled up, as probed or as a message of an open session felt it; it counts while it is news.
+    /// The seconds that work waits there, by a report or a message of an open session of the last 2 s.
     pub(super) fn queue_delay(&self, v: &Server) -> f64 {
-        let news = |then: Micros| f64::from(self.now - then < 2 * SECOND); // delays are told anew each second
-        (v.queue_delay * v.last_report.map_or(0.0, news)).max(v.message_delay.0 * news(v.message_delay.1))
+        let recent = |then: Micros| f64::from(self.now - then < 2 * SECOND); // measured each second
+        (v.queue_delay * v.last_report.map_or(0.0, recent)).max(v.message_delay.0 * recent(v.message_delay.1))
     }
 
     /// The reported load, or the mean, with what this relay placed since, times four at most (tried 2 and 8).
     pub(super) fn current_load(&self, v: &Server, g: &FleetEstimate) -> f64 {
         let since = v.flow.net.sum(self.now, v.last_report.map_or(0, |t| self.now - t) + LAG);
-        let told = v.last_report.map_or_else(|| g.mean_load * self.warmth(v), |_| v.load); // as it warmed
-        let base = told + self.queue_delay(v) + g.session_load * since * g.fleet_factor.min(4.0);
+        let reported = v.last_report.map_or_else(|| g.mean_load * self.warmth(v), |_| v.load); // as it warmed
+        let base = reported + self.queue_delay(v) + g.session_load * since * g.fleet_factor.min(4.0);
         base.max(f64::from(self.queue_delay(v) > self.queue_delay_limit)) // late: full
     }
 
@@ -85,12 +85,13 @@
         let (change, key) = (f64::from(by) * weight, (s.server, s.request.group));
         self.own_sessions = self.own_sessions.saturating_add_signed(by);
         // Who comes back and was not here has changed relays: its load is reported. A fifth may be chance.
-        let back = by > 0 && s.request.returned;
-        let moved = back && self.disconnects.sum(self.now, 8 * SECOND) < -0.2 * f64::from(self.own_sessions);
-        self.disconnects.add(self.now, f64::from(-by * i32::from(by < 0 || back && !moved)));
-        let news = if moved { 0.0 } else { change };
-        self.net_sessions.add(self.now, news);
-        self.estimate.busy += news * self.estimate.fleet_factor * self.estimate.session_load;
+        let returned = by > 0 && s.request.returned;
+        let moved =
+            returned && self.disconnects.sum(self.now, 8 * SECOND) < -0.2 * f64::from(self.own_sessions);
+        self.disconnects.add(self.now, f64::from(-by * i32::from(by < 0 || returned && !moved)));
+        let added = if moved { 0.0 } else { change };
+        self.net_sessions.add(self.now, added);
+        self.estimate.busy += added * self.estimate.fleet_factor * self.estimate.session_load;
         let members = self.groups.entry(key).or_insert(0);
         *members = members.saturating_add_signed(by);
         if *members == 0 || key.1 == 0 {
--- a/src/logic/memory.rs
+++ b/src/logic/memory.rs
@@ -12,22 +12,23 @@
             let report = Report { load: Some(v.load), piled: Some(v.queue_delay), held: Some(v.sessions) };
             let (report, misses) = (v.last_report.map(|then| (now.saturating_sub(then), report)), v.misses);
             let placed = v.flow.net.sum(now, PLACED_WITHIN);
-            Memory { server, report, misses, placed, turn: (now.saturating_sub(v.turn.0), v.turn.1) }
+            let turn = (now.saturating_sub(v.next_slot.0), v.next_slot.1);
+            Memory { server, report, misses, placed, turn }
         };
         (self.estimate.session_load, self.servers.iter().map(one).collect())
     }
 
-    /// Takes up what the process before knew; what this one has heard or done itself is newer.
+    /// Takes up what the process before knew; its own reports and dials are newer.
     pub(super) fn remember(&mut self, step: f64, servers: Vec<Memory>) {
         self.estimate.session_load = step.clamp(0.002, 0.05);
         for m in servers {
             let Some(v) = self.servers.get_mut(&m.server) else { continue };
             let then = |ago| self.now.saturating_sub(ago);
             if let Some((ago, report)) = m.report.filter(|r| v.last_report.is_none_or(|t| t < then(r.0))) {
-                v.hear(then(ago), Some(report));
+                v.record_report(then(ago), Some(report));
                 v.misses = m.misses;
             }
-            v.turn = (then(m.turn.0), m.turn.1);
+            v.next_slot = (then(m.turn.0), m.turn.1);
             v.flow.net.add(self.now, m.placed);
             self.net_sessions.add(self.now, m.placed);
         }
--- a/src/logic/mod.rs
+++ b/src/logic/mod.rs
@@ -20,7 +20,7 @@
 const SECOND: Micros = 1_000_000;
 const FULL: f64 = 0.75; // below this load a server has room for all, and nothing is gained by a move
 const GROUP: f64 = 4.0; // a group's cost on a server, in sessions; tried 2 and 8
-const POOL: usize = 3; // servers compared for a session: enough to miss what is full, few enough to be asked
+const POOL: usize = 3; // servers compared for a session: enough to miss what is full, few enough to probe
 const LAG: Micros = SECOND; // that reports are refreshed and travel before an answer; tried 0.5 to 2 s
 
 /// What a relay knows of one server.
@@ -33,10 +33,10 @@
     last_report: Option<Micros>,
     message_delay: (f64, Micros), // seconds that a message took there, and when this was measured
     misses: u32,                  // probes and connects in a row without an answer
-    turn: (Micros, f64), // from when its part of the cold budget runs, and the part of a pause to its turn
-    asked: Micros,
-    awaited: bool,
-    relieved: Micros,
+    next_slot: (Micros, f64),     // since the last dial there, after this part of a slot interval
+    last_probe: Micros,
+    probe_pending: bool,
+    last_rebalance: Micros,
     flow: Flow,
 }
 
@@ -61,9 +61,9 @@
     accepts: Ring,          // of these, in time
     queue_delay_limit: f64, // in seconds, over which a server is congested
     estimate: FleetEstimate,
-    credit: f64, // probes that are paid for and not yet sent
-    watch_fails: u32,
-    watched: Micros, // when the list was last asked for
+    probe_credit: f64, // probes that are paid for and not yet sent
+    watch_failures: u32,
+    last_watch: Micros, // when the list was last requested
 }
 
 const PROBE: u32 = 0;
@@ -75,11 +75,11 @@
     pub fn new(site: SiteFacts, seed: u64) -> Relay {
         let estimate = FleetEstimate { session_load: 0.02, ..FleetEstimate::default() }; // till more is known
         let mut relay = Relay { rng: Chance::new(seed), estimate, ..Relay::default() };
-        relay.facts(site);
+        relay.set_site(site);
         relay
     }
 
-    fn facts(&mut self, site: SiteFacts) {
+    fn set_site(&mut self, site: SiteFacts) {
         let target = site.listeners.iter().map(|l| l.message_target).min().unwrap_or(SECOND) as f64 / 1e6;
         let rule = |listener: &Listener| Rule { listener: listener.clone(), most_dials: site.most_dials };
         self.rules = site.listeners.iter().map(|listener| Rc::new(rule(listener))).collect();
@@ -94,10 +94,10 @@
             out.extend(self.site.may_probe.then_some(Effect::Alarm { after: 1, label: PROBE }));
         }
         match input {
-            Input::List { kind, entries } => self.list(kind, entries, out),
+            Input::List { kind, entries } => self.update_list(kind, entries, out),
             Input::Facts(site) => {
                 let probes = site.may_probe && !self.site.may_probe;
-                self.facts(*site);
+                self.set_site(*site);
                 out.extend(probes.then_some(Effect::Alarm { after: 1, label: PROBE }));
             }
             Input::Remember { step, servers } => self.remember(step, servers),
@@ -119,7 +119,7 @@
                 self.advance(sess, if settled { Event::Ended } else { Event::DialFailed }, out);
             }
             Input::Load { sess, load } => {
-                // A running mean over some fifty notes, to tell a heavy session from a light one.
+                // A running mean over some fifty inputs, to set a heavy session apart from a light one.
                 self.mean_load += (load - self.mean_load) * if self.mean_load > 0.0 { 0.02 } else { 1.0 };
                 let weight = (load / self.mean_load.max(1e-9)).clamp(0.3, 3.0);
                 self.sessions.entry(sess).and_modify(|s| s.weight = weight);
@@ -128,17 +128,17 @@
                 let Some(server) = self.sessions.get(&sess).map(|s| s.server) else { return };
                 let Some(v) = self.servers.get_mut(&server) else { return };
                 v.message_delay = (delay, now);
-                self.relieve(server, out);
+                self.rebalance(server, out);
             }
             Input::Left { sess } => self.advance(sess, Event::Ended, out),
             Input::Probed { server, end, report } => {
-                self.probed(server, end, report);
-                self.relieve(server, out);
+                self.probe_ended(server, end, report);
+                self.rebalance(server, out);
                 self.reconsider_held(Some(server), out);
             }
-            Input::Alarm { label: PROBE } => self.beat(out),
+            Input::Alarm { label: PROBE } => self.probe_tick(out),
             Input::Alarm { label: WATCH } => {
-                self.watched = now;
+                self.last_watch = now;
                 out.push(Effect::Watch);
             }
             Input::Alarm { .. } => self.reconsider_held(None, out),
--- a/src/logic/placement.rs
+++ b/src/logic/placement.rs
@@ -3,11 +3,10 @@
 use super::*;
 
 impl Relay {
-    /// The servers that a session may go to, best first: by tier, then whether they are full or across a
-    /// priced crossing, then by rank. Each server that holds any of a group pays for it (`GROUP`), so a group
-    /// keeps to its ranks, beyond `FULL` by that payment, and to few of the servers that warm up. Past the
-    /// thresholds, only cold ones with room where it is this relay's turn, which would else be lost.
-    pub(super) fn pool(&self, s: &Session, g: &FleetEstimate, only_turns: bool) -> Vec<ServerId> {
+    /// The servers that a session may go to, best first: by tier, then whether full or across a priced
+    /// crossing, then by rank. A group keeps to its ranks, beyond `FULL` by its cost, and to few cold ones.
+    /// Past the thresholds, only cold ones with room where this relay has a slot, which would else lapse.
+    pub(super) fn pool(&self, s: &Session, g: &FleetEstimate, only_slots: bool) -> Vec<ServerId> {
         let grouped = s.request.group != 0;
         let full_from = FULL + if grouped { GROUP * g.session_load } else { 0.0 };
         let cold_pool = if grouped { self.cold_pool(s) } else { vec![] };
@@ -15,10 +14,10 @@
         for v in self.servers.values().filter(|v| v.entry.ready()) {
             let far = v.entry.zone != self.site.zone && self.site.price_crossing > 0.0 && !grouped;
             let rank = rank(s, v);
-            // Most servers rank too low at their best, and cost no more than that.
-            let fits = || !only_turns || self.rare_turn(v, s, g);
+            let fits = || !only_slots || self.rare_slot(v, s, g);
             let group_fits = || !grouped || self.warmth(v) >= 1.0 || cold_pool.contains(&v.entry.server);
-            let may = || self.legal(s, &v.entry) && self.cold_open(v, s, g) && fits() && group_fits();
+            let may = || self.legal(s, &v.entry) && self.slot_open(v, s, g) && fits() && group_fits();
+            // Most servers rank too low at their best, and cost no more than that.
             if best.takes(&(0, false, far, rank, v.entry.server)) && may() {
                 let full = self.current_load(v, g) >= full_from;
                 best.add((self.tier(v, &s.tried), full, far, rank, v.entry.server));
@@ -54,8 +53,8 @@
         let others = self.groups.get(&(v.entry.server, s.request.group)).is_some_and(|&m| m > itself);
         let first = if others || s.request.group == 0 { 0.0 } else { GROUP * place as f64 / POOL as f64 };
         let crossing = if v.entry.zone == self.site.zone { 0.0 } else { self.site.price_crossing };
-        let lost = (-SHARP * (1.0 - load)).exp();
-        lost + (1.0 + first) * load * SHARP * lost + crossing
+        let loss = (-SHARP * (1.0 - load)).exp();
+        loss + (1.0 + first) * load * SHARP * loss + crossing
     }
 
     /// 0: uncongested and trusted; 1: congested; 2: tried or dropping sessions; 3: silent.
--- a/src/logic/rebalance.rs
+++ b/src/logic/rebalance.rs
@@ -3,12 +3,13 @@
 use super::*;
 
 impl Relay {
-    /// Sessions on a server that fills up go where they lose less; each probe answer moves a few.
-    pub(super) fn relieve(&mut self, server: ServerId, out: &mut Vec<Effect>) {
+    /// Moves sessions of a server that fills up to where they lose less, a few at each report.
+    pub(super) fn rebalance(&mut self, server: ServerId, out: &mut Vec<Effect>) {
         const DOUBT: f64 = 0.15; // a move's gain beyond its price: gap, set-up, doubt about old answers
         let Some(v) = self.servers.get(&server) else { return };
-        if self.current_load(v, &self.estimate) < FULL || !v.entry.ready() || self.now - v.relieved < LAG {
-            return; // what was moved does not show yet
+        let unsettled = self.now - v.last_rebalance < LAG; // what was moved does not show yet
+        if unsettled || !v.entry.ready() || self.current_load(v, &self.estimate) < FULL {
+            return;
         }
         let g = self.fleet_estimate();
         let v = &self.servers[&server];
@@ -26,16 +27,16 @@
         // The way down to the others' mean, in own sessions: half of it, or all where messages here are late.
         let late = shed || self.tier(v, &[]) > 0 && g.busy < FULL * g.capacity - g.congested;
         let way = (load - (g.busy / g.capacity.max(1.0)).min(FULL)) * if late { 1.0 } else { 0.5 };
-        let mut excess = mine.iter().map(|m| m.1).sum::<f64>() * way / load;
+        let mut surplus = mine.iter().map(|m| m.1).sum::<f64>() * way / load;
         for (_, frees, sess) in mine {
             // Less than one session is moved by chance: all relays together move the right number.
-            if excess < frees && !self.rng.hits(excess / frees) {
+            if surplus < frees && !self.rng.hits(surplus / frees) {
                 break;
             }
             if shed || self.gain(sess, load, &g) > self.site.price_move + DOUBT {
-                excess -= frees;
+                surplus -= frees;
                 self.advance(sess, Event::Rebalance, out);
-                self.servers.get_mut(&server).expect("just read").relieved = self.now;
+                self.servers.get_mut(&server).expect("just read").last_rebalance = self.now;
             }
         }
     }
--- a/src/logic/session.rs
+++ b/src/logic/session.rs
@@ -74,8 +74,8 @@
         let each = (SPEND / self.site.price_probe.max(1e-6)).min(4.0 * POOL as f64);
         let paid = each * if s.request.returned { 0.5 } else { 1.0 };
         self.reconnects.add(self.now, f64::from(s.request.returned && s.state != Open));
-        s.in_storm = s.request.returned && self.herd();
-        self.credit = (self.credit + paid).min(8.0 * self.servers.len().max(POOL) as f64);
+        s.in_storm = s.request.returned && self.in_reconnect_storm();
+        self.probe_credit = (self.probe_credit + paid).min(8.0 * self.servers.len().max(POOL) as f64);
         self.sessions.insert(sess, s);
     }
 
@@ -131,7 +131,7 @@
         out.push(Effect::Dial { sess, server, wait, window });
         self.book(sess, 1);
         let v = self.servers.get_mut(&server).expect("the pool names what is listed");
-        v.turn = (self.now, 1.0);
+        v.next_slot = (self.now, 1.0);
         v.flow.dials.add(self.now, 1.0);
     }
 
@@ -173,6 +173,6 @@
                 v.flow.faults.add(self.now, fault);
             }
         }
-        v.hear(self.now, report);
+        v.record_report(self.now, report);
     }
 }
--- a/src/logic/slow_start.rs
+++ b/src/logic/slow_start.rs
@@ -11,43 +11,42 @@
     }
 
     /// Rule 4: whether this relay's part of a cold server's budget has room again.
-    pub(super) fn cold_open(&self, v: &Server, s: &Session, g: &FleetEstimate) -> bool {
-        let turn = || (self.now - v.turn.0) as f64 >= v.turn.1 * self.pause(v, g);
-        self.warmth(v) >= 1.0 || !s.in_storm && turn()
+    pub(super) fn slot_open(&self, v: &Server, s: &Session, g: &FleetEstimate) -> bool {
+        let slot = || (self.now - v.next_slot.0) as f64 >= v.next_slot.1 * self.slot_interval(v, g);
+        self.warmth(v) >= 1.0 || !s.in_storm && slot()
     }
 
-    /// Whether a session that comes back is one too many for the cold servers, where all relays have turns
-    /// left unused: each goes there with the chance that keeps them within what these servers bear.
-    pub(super) fn herd(&mut self) -> bool {
+    /// Whether a returning session is one too many for the cold servers, by a chance that keeps their budget.
+    pub(super) fn in_reconnect_storm(&mut self) -> bool {
         // Beside itself; in a burst, or for a while (sums reach a quarter of a second further in the mean).
         let beside = |back: Micros| self.reconnects.sum(self.now, back.saturating_sub(SECOND / 4)) - 1.0;
         let (fall, long) = (self.site.fall, 4 * SECOND);
         let came = beside(fall).max(beside(long) * fall as f64 / long as f64);
         let all = came * f64::from(self.site.relays);
-        let budget = |v: &Server| fall as f64 * self.bears(v, self.estimate.session_load);
-        // Where the turns of all relays at once are no more than chance may add, turns alone hold the budget.
+        let budget = |v: &Server| fall as f64 * self.sustainable_rate(v, self.estimate.session_load);
+        // Where the slots of all relays at once are no more than chance may add, slots alone hold the budget.
         let few = |n: f64| f64::from(self.site.relays) <= n + 2.0 * n.sqrt() + 2.0;
         let cold = self.servers.values().filter(|v| v.entry.ready() && self.warmth(v) < 1.0);
-        let bear = cold.map(budget).filter(|&n| !few(n)).map(|n| n + 1.0).sum::<f64>();
-        bear > 0.0 && bear < all && !self.rng.hits(bear / all)
+        let sustained = cold.map(budget).filter(|&n| !few(n)).map(|n| n + 1.0).sum::<f64>();
+        sustained > 0.0 && sustained < all && !self.rng.hits(sustained / all)
     }
 
-    /// Whether an open turn here counts past the thresholds: not where turns come every second or two.
-    pub(super) fn rare_turn(&self, v: &Server, s: &Session, g: &FleetEstimate) -> bool {
-        let rare = self.warmth(v) < 1.0 && self.pause(v, g) > (4 * LAG) as f64;
+    /// Whether an open slot here counts past the thresholds: not where slots come every second or two.
+    pub(super) fn rare_slot(&self, v: &Server, s: &Session, g: &FleetEstimate) -> bool {
+        let rare = self.warmth(v) < 1.0 && self.slot_interval(v, g) > (4 * LAG) as f64;
         rare && self.tier(v, &s.tried) == 0 && self.current_load(v, g) < FULL
     }
 
-    /// The time from one of this relay's turns at a cold server to the next.
-    fn pause(&self, v: &Server, g: &FleetEstimate) -> f64 {
+    /// The microseconds from one of this relay's slots at a cold server to the next.
+    fn slot_interval(&self, v: &Server, g: &FleetEstimate) -> f64 {
         // 1.4 for one relay, 4 for a hundred: the more share a server, the fewer have a session just then.
         let others = f64::from(self.site.relays - 1);
-        let overbook = 1.4 + 3.6 * others / (others + 40.0);
-        f64::from(self.site.relays) / overbook / self.bears(v, g.session_load)
+        let oversubscription = 1.4 + 3.6 * others / (others + 40.0);
+        f64::from(self.site.relays) / oversubscription / self.sustainable_rate(v, g.session_load)
     }
 
-    /// The sessions a microsecond that a cold server bears of all relays, by its warmth now.
-    fn bears(&self, v: &Server, step: f64) -> f64 {
-        self.site.fall_multiple * self.warmth(v) / (self.site.cold.max(1) as f64 * step)
+    /// The sessions a microsecond that a cold server sustains from all relays, by its warmth now.
+    fn sustainable_rate(&self, v: &Server, session_load: f64) -> f64 {
+        self.site.fall_multiple * self.warmth(v) / (self.site.cold.max(1) as f64 * session_load)
     }
 }
