--- /dev/null
+++ b/src/logic/slow_start.rs
@@ -0,0 +1,52 @@
+//! Slow start: how many sessions a server takes while it is cold.
+
+use super::*;
+
+impl Relay {
+    /// The part of its capacity that a server surely has, so long after its start.
+    pub(super) fn warmth(&self, v: &Server) -> f64 {
+        let age = self.now.saturating_sub(v.entry.came_up) as f64 / self.site.cold.max(1) as f64;
+        let part = if v.entry.came_up == 0 { 1.0 } else { age.min(1.0) };
+        self.site.cold_from + (1.0 - self.site.cold_from) * part
+    }
+
+    /// Rule 4: whether this relay's part of a cold server's budget has room again.
+    pub(super) fn slot_open(&self, v: &Server, s: &Session, g: &FleetEstimate) -> bool {
+        let slot = || (self.now - v.next_slot.0) as f64 >= v.next_slot.1 * self.slot_interval(v, g);
+        self.warmth(v) >= 1.0 || !s.in_storm && slot()
+    }
+
+    /// Whether a returning session is one too many for the cold servers, by a chance that keeps their budget.
+    pub(super) fn in_reconnect_storm(&mut self) -> bool {
+        // Beside itself; in a burst, or for a while (sums reach a quarter of a second further in the mean).
+        let beside = |back: Micros| self.reconnects.sum(self.now, back.saturating_sub(SECOND / 4)) - 1.0;
+        let (fall, long) = (self.site.fall, 4 * SECOND);
+        let came = beside(fall).max(beside(long) * fall as f64 / long as f64);
+        let all = came * f64::from(self.site.relays);
+        let budget = |v: &Server| fall as f64 * self.sustainable_rate(v, self.estimate.session_load);
+        // Where the slots of all relays at once are no more than chance may add, slots alone hold the budget.
+        let few = |n: f64| f64::from(self.site.relays) <= n + 2.0 * n.sqrt() + 2.0;
+        let cold = self.servers.values().filter(|v| v.entry.ready() && self.warmth(v) < 1.0);
+        let sustained = cold.map(budget).filter(|&n| !few(n)).map(|n| n + 1.0).sum::<f64>();
+        sustained > 0.0 && sustained < all && !self.rng.hits(sustained / all)
+    }
+
+    /// Whether an open slot here counts past the thresholds: not where slots come every second or two.
+    pub(super) fn rare_slot(&self, v: &Server, s: &Session, g: &FleetEstimate) -> bool {
+        let rare = self.warmth(v) < 1.0 && self.slot_interval(v, g) > (4 * LAG) as f64;
+        rare && self.tier(v, &s.tried) == 0 && self.current_load(v, g) < FULL
+    }
+
+    /// The microseconds from one of this relay's slots at a cold server to the next.
+    fn slot_interval(&self, v: &Server, g: &FleetEstimate) -> f64 {
+        // 1.4 for one relay, 4 for a hundred: the more share a server, the fewer have a session just then.
+        let others = f64::from(self.site.relays - 1);
+        let oversubscription = 1.4 + 3.6 * others / (others + 40.0);
+        f64::from(self.site.relays) / oversubscription / self.sustainable_rate(v, g.session_load)
+    }
+
+    /// The sessions a microsecond that a cold server sustains from all relays, by its warmth now.
+    fn sustainable_rate(&self, v: &Server, session_load: f64) -> f64 {
+        self.site.fall_multiple * self.warmth(v) / (self.site.cold.max(1) as f64 * session_load)
+    }
+}
