Groups are not kept to few cold servers: it costs where a group costs little

Cause: of the three parts that keep a group together, the choice of three cold servers for each group left cold turns unused.

--- a/src/logic/placement.rs
+++ b/src/logic/placement.rs
@@ -4,19 +4,17 @@
 
 impl Relay {
     /// The servers that a session may go to, best first: by tier, then whether full or across a priced
-    /// crossing, then by rank. A group keeps to its ranks, beyond `FULL` by its cost, and to few cold ones.
+    /// crossing, then by rank. A group keeps to its ranks, in all zones, and beyond `FULL` by its cost.
     /// Past the thresholds, only cold ones with room where this relay has a slot, which would else lapse.
     pub(super) fn pool(&self, s: &Session, g: &FleetEstimate, only_slots: bool) -> Vec<ServerId> {
         let grouped = s.request.group != 0;
         let full_from = FULL + if grouped { GROUP * g.session_load } else { 0.0 };
-        let cold_pool = if grouped { self.cold_pool(s) } else { vec![] };
         let mut best = Least::new(POOL);
         for v in self.servers.values().filter(|v| v.entry.ready()) {
             let far = v.entry.zone != self.site.zone && self.site.price_crossing > 0.0 && !grouped;
             let rank = rank(s, v);
             let fits = || !only_slots || self.rare_slot(v, s, g);
-            let group_fits = || !grouped || self.warmth(v) >= 1.0 || cold_pool.contains(&v.entry.server);
-            let may = || self.legal(s, &v.entry) && self.slot_open(v, s, g) && fits() && group_fits();
+            let may = || self.legal(s, &v.entry) && self.slot_open(v, s, g) && fits();
             // Most servers rank too low at their best, and cost no more than that.
             if best.takes(&(0, false, far, rank, v.entry.server)) && may() {
                 let full = self.current_load(v, g) >= full_from;
@@ -26,14 +24,6 @@
         best.into_iter().map(|b| b.4).collect()
     }
 
-    /// The cold servers that a session's group ranks first.
-    fn cold_pool(&self, s: &Session) -> Vec<ServerId> {
-        let mut best = Least::new(POOL);
-        let cold = self.servers.values().filter(|v| v.entry.ready() && self.warmth(v) < 1.0);
-        cold.for_each(|v| best.add((rank(s, v), v.entry.server)));
-        best.into_iter().map(|b| b.1).collect()
-    }
-
     /// Rule 2: whether a session may be dialled at a server, after what may have run already.
     fn legal(&self, s: &Session, at: &Entry) -> bool {
         let Some((since, zone, cell)) = s.may_have_run else { return true };
