Busy relays keep to their plain share of what a cold server sustains

Cause: slot_interval overbooks shares of a cold server's budget (2.56 times for twenty relays, 4 for a hundred), counting on most relays having no session as their slot opens. Relays with 3 to 30 sessions a second do have one, and the sum went over N + 2 sqrt N + 2. Change: the interval is the relay's share less the wait for a session that can take it, by the running mean of the time between its arrivals, and never shorter than before; what the server sustained on the way counts, not what it does now.

--- a/src/logic/mod.rs
+++ b/src/logic/mod.rs
@@ -11,7 +11,7 @@
 mod session;
 mod slow_start;
 
-use crate::tools::{mix, Chance, Flow, Least, Ring};
+use crate::tools::{mix, Arrivals, Chance, Flow, Least, Ring};
 use crate::types::*;
 use estimate::FleetEstimate;
 use session::{Event, Rule, Session, State};
@@ -54,6 +54,7 @@
     groups: BTreeMap<(ServerId, u64), u32>, // own open sessions of a group at a server
     mean_load: f64,
     own_sessions: u32,      // dialled and open
+    arrivals: Arrivals,     // of sessions that may take a slot at a cold server, refused ones too
     net_sessions: Ring,     // dialled, less those that ended
     disconnects: Ring,      // sessions that left here and have not come again
     reconnects: Ring,       // sessions that came back from anywhere
--- a/src/logic/session.rs
+++ b/src/logic/session.rs
@@ -75,6 +75,7 @@
         let paid = each * if s.request.returned { 0.5 } else { 1.0 };
         self.reconnects.add(self.now, f64::from(s.request.returned && s.state != Open));
         s.in_storm = s.request.returned && self.in_reconnect_storm();
+        self.arrivals.add(self.now, !s.in_storm && s.state != State::Open);
         self.probe_credit = (self.probe_credit + paid).min(8.0 * self.servers.len().max(POOL) as f64);
         self.sessions.insert(sess, s);
     }
--- a/src/logic/slow_start.rs
+++ b/src/logic/slow_start.rs
@@ -12,7 +12,7 @@
 
     /// Rule 4: whether this relay's part of a cold server's budget has room again.
     pub(super) fn slot_open(&self, v: &Server, s: &Session, g: &FleetEstimate) -> bool {
-        let slot = || (self.now - v.next_slot.0) as f64 >= v.next_slot.1 * self.slot_interval(v, g);
+        let slot = || (self.now - v.next_slot.0) as f64 >= self.slot_interval(v, g, v.next_slot.1);
         self.warmth(v) >= 1.0 || !s.in_storm && slot()
     }
 
@@ -33,16 +33,22 @@
 
     /// Whether an open slot here counts past the thresholds: not where slots come every second or two.
     pub(super) fn rare_slot(&self, v: &Server, s: &Session, g: &FleetEstimate) -> bool {
-        let rare = self.warmth(v) < 1.0 && self.slot_interval(v, g) > (4 * LAG) as f64;
+        let rare = self.warmth(v) < 1.0 && self.slot_interval(v, g, 1.0) > (4 * LAG) as f64;
         rare && self.tier(v, &s.tried) == 0 && self.current_load(v, g) < FULL
     }
 
-    /// The microseconds from one of this relay's slots at a cold server to the next.
-    fn slot_interval(&self, v: &Server, g: &FleetEstimate) -> f64 {
+    /// The microseconds from this relay's last slot at a cold server till such a part of an interval is over.
+    fn slot_interval(&self, v: &Server, g: &FleetEstimate, part: f64) -> f64 {
         // 1.4 for one relay, 4 for a hundred: the more share a server, the fewer have a session just then.
         let others = f64::from(self.site.relays - 1);
         let oversubscription = 1.4 + 3.6 * others / (others + 40.0);
-        f64::from(self.site.relays) / oversubscription / self.sustainable_rate(v, g.session_load)
+        let share = part * f64::from(self.site.relays) / self.sustainable_rate(v, g.session_load);
+        // An interval is this and the wait for a session whose pool has the server: short for busy relays.
+        let wait = self.arrivals.mean_gap() * ((g.capacity - g.congested) / POOL as f64).max(1.0);
+        // The server sustained less while it was colder: by half of what it has warmed since the last slot.
+        let warm_up = (1.0 - self.site.cold_from) / self.site.cold.max(1) as f64;
+        let warmed = warm_up * (self.now - v.next_slot.0) as f64 / self.warmth(v);
+        ((share - wait) / (1.0 - warmed / 2.0).max(0.5)).max(share / oversubscription)
     }
 
     /// The sessions a microsecond that a cold server sustains from all relays, by its warmth now.
--- a/src/tools.rs
+++ b/src/tools.rs
@@ -32,6 +32,41 @@
     }
 }
 
+/// A running mean of the time between arrivals.
+pub struct Arrivals {
+    last: Option<Micros>,
+    mean_gap: f64,
+}
+
+impl Arrivals {
+    /// Microseconds, taken for the mean at the start: that of a relay of few sessions. Tried 8 s and 10 s:
+    /// the second session of a relay was refused its turn (`cold-past-thresholds.txt`).
+    const START_GAP: f64 = 12e6;
+    /// What the newest gap counts for: enough to follow a burst, and steady to a quarter. Tried 1/16.
+    const NEWEST: f64 = 1.0 / 8.0;
+
+    /// Takes in an arrival, unless it is of a kind that does not count.
+    pub fn add(&mut self, now: Micros, counts: bool) {
+        if !counts {
+            return;
+        }
+        if let Some(last) = self.last.replace(now) {
+            self.mean_gap += (now.saturating_sub(last) as f64 - self.mean_gap) * Arrivals::NEWEST;
+        }
+    }
+
+    /// In microseconds.
+    pub fn mean_gap(&self) -> f64 {
+        self.mean_gap
+    }
+}
+
+impl Default for Arrivals {
+    fn default() -> Arrivals {
+        Arrivals { last: None, mean_gap: Arrivals::START_GAP }
+    }
+}
+
 /// What lately went to a server: sessions in less sessions out, dials, and faults among them.
 #[derive(Default)]
 pub struct Flow {
