--- a/tests/short_days/cold.rs
+++ b/tests/short_days/cold.rs
@@ -1,5 +1,5 @@
 //! Rule 4 over all relays: what twenty of them send to one cold backend together, while it may fall.
-use crate::fleet::{Fleet, MILLISECOND, SECOND};
+use crate::fleet::{two_listeners, Fleet, SECOND};
 use hallrelay::types::*;
 
 const RELAYS: u32 = 20;
@@ -30,25 +30,8 @@
 pub struct Case(pub Allowance, pub f64);
 
 fn site(allowance: Allowance) -> SiteFacts {
-    let listener = |utility| Listener {
-        utility,
-        repeat: Repeat::Repeatable,
-        handshake_target: 300 * MILLISECOND,
-        message_target: 60 * MILLISECOND,
-    };
-    SiteFacts {
-        listeners: vec![listener(1.0), listener(5.0)],
-        relays: RELAYS,
-        may_probe: true,
-        most_dials: 4,
-        max_open: 1_000_000,
-        cold: allowance.cold,
-        cold_from: allowance.cold_from,
-        fall_multiple: 3.0,
-        fall: allowance.fall,
-        price_probe: 0.002,
-        ..SiteFacts::default()
-    }
+    let Allowance { cold, cold_from, fall } = allowance;
+    SiteFacts { cold, cold_from, fall, price_probe: 0.002, ..two_listeners(RELAYS) }
 }
 
 /// The most that came in a fall's time, over what the backend bears then.
--- a/tests/short_days/fleet.rs
+++ b/tests/short_days/fleet.rs
@@ -13,6 +13,29 @@
 /// What a client allows for its dial.
 const DIAL_TIMEOUT: Micros = 2 * SECOND;
 
+/// A site of relays that may probe, with a listener of low and one of high utility, both repeatable, and ten
+/// seconds of slow start.
+pub fn two_listeners(relays: u32) -> SiteFacts {
+    let listener = |utility| Listener {
+        utility,
+        repeat: Repeat::Repeatable,
+        handshake_target: 300 * MILLISECOND,
+        message_target: 60 * MILLISECOND,
+    };
+    SiteFacts {
+        listeners: vec![listener(1.0), listener(5.0)],
+        relays,
+        may_probe: true,
+        most_dials: 4,
+        max_open: 1_000_000,
+        cold: 10 * SECOND,
+        cold_from: 0.2,
+        fall_multiple: 3.0,
+        fall: 2 * SECOND,
+        ..SiteFacts::default()
+    }
+}
+
 /// A backend as the model keeps it.
 #[derive(Default)]
 pub struct Backend {
--- a/tests/short_days/refusals.rs
+++ b/tests/short_days/refusals.rs
@@ -1,6 +1,6 @@
 //! Relays of few sessions, whose answers are old: none turns away all that it gets for long once there is a
 //! backend with room.
-use crate::fleet::{Deed, Fleet, MILLISECOND, SECOND};
+use crate::fleet::{two_listeners, Deed, Fleet, SECOND};
 use hallrelay::types::*;
 
 const BACKENDS: u32 = 6;
@@ -18,25 +18,7 @@
 const SEEDS: u64 = 20;
 
 fn site(relays: u32, price_probe: f64) -> SiteFacts {
-    let listener = |utility| Listener {
-        utility,
-        repeat: Repeat::Repeatable,
-        handshake_target: 300 * MILLISECOND,
-        message_target: 60 * MILLISECOND,
-    };
-    SiteFacts {
-        listeners: vec![listener(1.0), listener(5.0)],
-        relays,
-        may_probe: true,
-        most_dials: 4,
-        max_open: 1_000_000,
-        cold: 10 * SECOND,
-        cold_from: 0.2,
-        fall_multiple: 3.0,
-        fall: 2 * SECOND,
-        price_probe,
-        ..SiteFacts::default()
-    }
+    SiteFacts { price_probe, ..two_listeners(relays) }
 }
 
 /// The longest time from a refusal to a refusal without a dial between them, `FEWEST` refusals at least.
--- a/tests/short_days/unheard.rs
+++ b/tests/short_days/unheard.rs
@@ -1,6 +1,6 @@
 //! A relay that may not probe knows loads from refusals alone: once all backends have refused for being full,
 //! it must find out that they have room again.
-use crate::fleet::{MILLISECOND, SECOND};
+use crate::fleet::{two_listeners, MILLISECOND, SECOND};
 use hallrelay::logic::Relay;
 use hallrelay::types::*;
 
@@ -14,25 +14,7 @@
 const LONGEST: Micros = 4 * SECOND;
 
 fn relay() -> Relay {
-    let listener = |utility| Listener {
-        utility,
-        repeat: Repeat::Repeatable,
-        handshake_target: 300 * MILLISECOND,
-        message_target: 60 * MILLISECOND,
-    };
-    let site = SiteFacts {
-        listeners: vec![listener(1.0), listener(5.0)],
-        relays: 6,
-        may_probe: false,
-        most_dials: 4,
-        max_open: 1_000_000,
-        cold: 10 * SECOND,
-        cold_from: 0.2,
-        fall_multiple: 3.0,
-        fall: 2 * SECOND,
-        ..SiteFacts::default()
-    };
-    Relay::new(site, 7)
+    Relay::new(SiteFacts { may_probe: false, ..two_listeners(6) }, 7)
 }
 
 /// Gives an input and answers each dial at once; whether there was any.
