Without probes one dial in three seconds goes out whatever was reported

Change: such a relay is refused nothing for one dial if its last was three seconds ago; answers count as before. Measured: unheard.rs passes as before.

--- a/src/logic/admission.rs
+++ b/src/logic/admission.rs
@@ -14,7 +14,9 @@
         let known = matches!(repeat, Repeat::Repeatable | Repeat::Referenced { within: Within::All, .. });
         let give_up = if known || s.may_have_run.is_none() { Event::Reject } else { Event::Abort };
         let over = self.now >= s.deadline || s.dials >= s.rule.most_dials;
-        let refused = s.dials == 0 && !self.admits(s, &g);
+        // Where only a dial tells more, one goes out in three seconds whatever was reported.
+        let asks_by_dial = !self.site.may_probe && self.now - self.last_dial >= 3 * LAG;
+        let refused = s.dials == 0 && !asks_by_dial && !self.admits(s, &g);
         let stale = g.report_age > 2 * LAG && self.now < s.probe_deadline;
         let pool_for = |only_slots| if over { vec![] } else { self.pool(s, &g, only_slots) };
         let pool = pool_for(refused && !stale);
--- a/src/logic/estimate.rs
+++ b/src/logic/estimate.rs
@@ -29,9 +29,7 @@
         for v in self.servers.values().filter(|v| v.entry.ready() && v.misses == 0) {
             let warmth = self.warmth(v);
             all += warmth;
-            // Where only a dial tells more, old answers can't go on refusing it.
-            let counts = |t: &Micros| self.site.may_probe || self.now - t <= 3 * LAG;
-            let Some(reported_at) = v.last_report.filter(counts) else {
+            let Some(reported_at) = v.last_report else {
                 own += warmth * f64::from(self.queue_delay(v) > self.queue_delay_limit);
                 continue;
             };
--- a/src/logic/mod.rs
+++ b/src/logic/mod.rs
@@ -53,11 +53,12 @@
     held_sessions: Vec<SessId>,
     groups: BTreeMap<(ServerId, u64), u32>, // own open sessions of a group at a server
     mean_load: f64,
-    own_sessions: u32,      // dialled and open
-    arrivals: Arrivals,     // of sessions that may take a slot at a cold server, refused ones too
-    net_sessions: Ring,     // dialled, less those that ended
-    disconnects: Ring,      // sessions that left here and have not come again
-    reconnects: Ring,       // sessions that came back from anywhere
+    own_sessions: u32,  // dialled and open
+    arrivals: Arrivals, // of sessions that may take a slot at a cold server, refused ones too
+    net_sessions: Ring, // dialled, less those that ended
+    disconnects: Ring,  // sessions that left here and have not come again
+    reconnects: Ring,   // sessions that came back from anywhere
+    last_dial: Micros,
     dials: Ring,            // that servers took up, and those throttled
     accepts: Ring,          // of these, in time
     queue_delay_limit: f64, // in seconds, over which a server is congested
--- a/src/logic/session.rs
+++ b/src/logic/session.rs
@@ -131,6 +131,7 @@
         };
         out.push(Effect::Dial { sess, server, wait, window });
         self.book(sess, 1);
+        self.last_dial = self.now;
         let v = self.servers.get_mut(&server).expect("the pool names what is listed");
         v.next_slot = (self.now, 1.0);
         v.flow.dials.add(self.now, 1.0);
