--- a/src/logic/estimate.rs
+++ b/src/logic/estimate.rs
@@ -19,7 +19,6 @@
     /// Read from the servers with fresh answers, as a sample of all that are ready and not silent.
     pub(super) fn fleet_estimate(&mut self) -> FleetEstimate {
         const USABLE: f64 = 0.85; // how c is read: what fills before messages are late; tried 0.7, 0.85, 1
-        const FEW: u32 = 16; // own sessions, of which chance is a quarter; with more these are steadier
         const PRIOR: f64 = 8.0; // sessions that the last figure counts for, beside those that servers hold
         const ROOM: f64 = 0.6; // a load that leaves the others room for a late one's; always and never tried
         if self.now < self.estimate.valid_until {
--- a/src/logic/mod.rs
+++ b/src/logic/mod.rs
@@ -21,6 +21,7 @@
 const FULL: f64 = 0.75; // below this load a server has room for all, and nothing is gained by a move
 const GROUP: f64 = 4.0; // a group's cost on a server, in sessions; tried 2 and 8
 const POOL: usize = 3; // servers compared for a session: enough to miss what is full, few enough to probe
+const FEW: u32 = 16; // own sessions, of which chance is a quarter; with more these are steadier
 const LAG: Micros = SECOND; // that reports are refreshed and travel before an answer; tried 0.5 to 2 s
 
 /// What a relay knows of one server.
--- a/src/logic/placement.rs
+++ b/src/logic/placement.rs
@@ -4,11 +4,11 @@
 
 impl Relay {
     /// The servers that a session may go to, best first: by tier, then whether full or across a priced
-    /// crossing, then by rank. A group keeps to its ranks, in all zones, and beyond `FULL` by its cost.
+    /// crossing, then by rank. A group keeps to its ranks, in all zones, and in thin relays beyond `FULL`.
     /// Past the thresholds, only cold ones with room where this relay has a slot, which would else lapse.
     pub(super) fn pool(&self, s: &Session, g: &FleetEstimate, only_slots: bool) -> Vec<ServerId> {
         let grouped = s.request.group != 0;
-        let full_from = FULL + if grouped { GROUP * g.session_load } else { 0.0 };
+        let full_from = FULL + f64::from(grouped && self.own_sessions < FEW) * GROUP * g.session_load;
         let mut best = Least::new(POOL);
         for v in self.servers.values().filter(|v| v.entry.ready()) {
             let far = v.entry.zone != self.site.zone && self.site.price_crossing > 0.0 && !grouped;
