Read once more: one match for the counts of dial ends, one name a constant

Seen: the match from a dial's end to its count stood twice in losses/rows.rs; FEW meant dials in admission.rs and own sessions in mod.rs. Change: a macro beside that of the counts; FEW_DIALS. Decisions and printed results as before.

--- a/lab/src/losses/rows.rs
+++ b/lab/src/losses/rows.rs
@@ -150,35 +150,27 @@
     }
 }
 
-impl AfterDials {
-    fn of(&mut self, end: DialEnd) -> &mut u64 {
-        match end {
-            DialEnd::Ok => &mut self.ok,
-            DialEnd::Error => &mut self.error,
-            DialEnd::Full => &mut self.full,
-            DialEnd::Timeout => &mut self.timeout,
-            DialEnd::Unconnected => &mut self.unconnected,
-            DialEnd::Reset => &mut self.reset,
-            DialEnd::Recalled => &mut self.recalled,
-            DialEnd::Moot => &mut self.moot,
-        }
-    }
+/// Finds the count of an end, for structs of counts that have one for each.
+macro_rules! counts_by_dial_end {
+    ($($name:ident),*) => {
+        $(impl $name {
+            pub fn of(&mut self, end: DialEnd) -> &mut u64 {
+                match end {
+                    DialEnd::Ok => &mut self.ok,
+                    DialEnd::Error => &mut self.error,
+                    DialEnd::Full => &mut self.full,
+                    DialEnd::Timeout => &mut self.timeout,
+                    DialEnd::Unconnected => &mut self.unconnected,
+                    DialEnd::Reset => &mut self.reset,
+                    DialEnd::Recalled => &mut self.recalled,
+                    DialEnd::Moot => &mut self.moot,
+                }
+            }
+        })*
+    };
 }
 
-impl DialEnds {
-    pub fn of(&mut self, end: DialEnd) -> &mut u64 {
-        match end {
-            DialEnd::Ok => &mut self.ok,
-            DialEnd::Error => &mut self.error,
-            DialEnd::Full => &mut self.full,
-            DialEnd::Timeout => &mut self.timeout,
-            DialEnd::Unconnected => &mut self.unconnected,
-            DialEnd::Reset => &mut self.reset,
-            DialEnd::Recalled => &mut self.recalled,
-            DialEnd::Moot => &mut self.moot,
-        }
-    }
-}
+counts_by_dial_end!(AfterDials, DialEnds);
 
 impl Ends {
     /// Counts an end; what is open as the day ends has none.
--- a/src/logic/admission.rs
+++ b/src/logic/admission.rs
@@ -71,9 +71,9 @@
     fn throttled(&mut self, high: bool) -> bool {
         const WINDOW: Micros = 4 * SECOND; // tried 8 s
         const MOST: f64 = 1.5; // dials for each that was accepted of late; tried 2 and 1.2
-        const FEW: f64 = 8.0; // dials of all relays that are no sample
+        const FEW_DIALS: f64 = 8.0; // dials of all relays that are no sample
         let sum = |ring: &Ring| ring.sum(self.now, WINDOW);
-        let (dials, least) = (sum(&self.dials), FEW / f64::from(self.site.relays));
+        let (dials, least) = (sum(&self.dials), FEW_DIALS / f64::from(self.site.relays));
         let most = MOST * if high { 1.0 } else { 1.0 - K_RESERVED };
         let excess = dials - least - most * sum(&self.accepts);
         let mut faulty = self.servers.values().filter(|v| sum(&v.flow.faults) > 0.0);
