Tests: reconnect storms after a quiet time overrun the budget of a cold backend

Cause: each relay keeps an unused slot at a cold server for ever, so the first returning session of every relay meets one at the same moment.

--- a/tests/short_days/fleet.rs
+++ b/tests/short_days/fleet.rs
@@ -209,6 +209,16 @@
         }
     }
 
+    /// Clients that lost their sessions elsewhere come back to every relay at once, spread evenly over a span.
+    pub fn schedule_reconnect_storm(&mut self, from: Micros, span: Micros, per_relay: u32) {
+        for relay in 0..self.relays.len() {
+            for _ in 0..per_relay {
+                let at = from + (self.draw() * span as f64) as Micros;
+                self.schedule(at, Happening::ClientComes { relay, returned: true });
+            }
+        }
+    }
+
     pub fn run_until(&mut self, end: Micros) {
         while let Some((&key, _)) = self.due.first_key_value().filter(|(key, _)| key.0 <= end) {
             let happening = self.due.remove(&key).expect("it was just seen");
