Slow start: unused slots at a cold server are kept by no more relays than it bears

Change: a relay uses a slot only where it is drawn for the server's warm-up, with the chance of N + root of N + 1 over the slots that lie unused in the whole fleet and a storm meets at once.

--- a/src/logic/mod.rs
+++ b/src/logic/mod.rs
@@ -47,6 +47,7 @@
     site: SiteFacts,
     rules: Vec<Rc<Rule>>, // a row for each listener, shared by its sessions
     rng: Chance,
+    slot_key: u64, // draws the cold servers whose unused slots this relay keeps
     now: Micros,
     started: bool,
     servers: BTreeMap<ServerId, Server>,
@@ -77,7 +78,8 @@
     /// A relay that knows nothing yet. `seed` draws its chances; `site` names one listener at least.
     pub fn new(site: SiteFacts, seed: u64) -> Relay {
         let estimate = FleetEstimate { session_load: 0.02, ..FleetEstimate::default() }; // till more is known
-        let mut relay = Relay { rng: Chance::new(seed), estimate, ..Relay::default() };
+        let slot_key = mix(mix(seed) ^ u64::from(site.slot));
+        let mut relay = Relay { rng: Chance::new(seed), slot_key, estimate, ..Relay::default() };
         relay.set_site(site);
         relay
     }
--- a/src/logic/slow_start.rs
+++ b/src/logic/slow_start.rs
@@ -13,7 +13,30 @@
     /// Rule 4: whether this relay's part of a cold server's budget has room again.
     pub(super) fn slot_open(&self, v: &Server, s: &Session, g: &FleetEstimate) -> bool {
         let slot = || (self.now - v.next_slot.0) as f64 >= self.slot_interval(v, g, v.next_slot.1);
-        self.warmth(v) >= 1.0 || !s.in_storm && slot()
+        self.warmth(v) >= 1.0 || !s.in_storm && slot() && self.drawn(v, g)
+    }
+
+    /// Whether this relay is one of those that may use a slot at a cold server however long it lay unused.
+    /// Guards the budget against a moment in which every relay has a session: no more relays are drawn than
+    /// the budget bears at once. A relay stays drawn for a server's whole warm-up, so that no window sees others.
+    fn drawn(&self, v: &Server, g: &FleetEstimate) -> bool {
+        /// Sessions of one relay in a storm that may have the server in their pools before it is seen as one.
+        const BESIDE: f64 = 1.3;
+        let budget = self.site.fall as f64 * self.sustainable_rate(v, g.session_load);
+        let pools = self.pools(g);
+        let (wait, interval) = (self.arrivals.mean_gap() * pools, self.slot_interval(v, g, 1.0));
+        // Till an interval is over since its start some relays have had no slot yet.
+        let opened = self.now.saturating_sub(v.entry.came_up) as f64 / interval;
+        let unused = (wait / (wait + interval)).min(opened);
+        let at_once = f64::from(self.site.relays) * unused * (BESIDE / pools).min(1.0);
+        let bearable = budget + budget.sqrt() + 1.0;
+        let draw = mix(self.slot_key ^ (u64::from(v.entry.server) << 32) ^ v.entry.came_up);
+        draw as f64 <= bearable / at_once * u64::MAX as f64
+    }
+
+    /// The sessions that come for each one whose pool has a given server.
+    fn pools(&self, g: &FleetEstimate) -> f64 {
+        ((g.capacity - g.congested) / POOL as f64).max(1.0)
     }
 
     /// Whether a returning session is one too many for the cold servers, by a chance that keeps their budget.
@@ -44,7 +67,7 @@
         let oversubscription = 1.4 + 3.6 * others / (others + 40.0);
         let share = part * f64::from(self.site.relays) / self.sustainable_rate(v, g.session_load);
         // An interval is this and the wait for a session whose pool has the server: short for busy relays.
-        let wait = self.arrivals.mean_gap() * ((g.capacity - g.congested) / POOL as f64).max(1.0);
+        let wait = self.arrivals.mean_gap() * self.pools(g);
         // The server sustained less while it was colder: by half of what it has warmed since the last slot.
         let warm_up = (1.0 - self.site.cold_from) / self.site.cold.max(1) as f64;
         let warmed = warm_up * (self.now - v.next_slot.0) as f64 / self.warmth(v);
