Servers that fewer than twenty sessions fill: their part of a server is believed up to a fifth

Cause: session_load was held under 0.05, so a cold server that ten sessions fill was given twice its budget. Change: up to 0.2 where reports tell it.

--- a/src/logic/estimate.rs
+++ b/src/logic/estimate.rs
@@ -15,6 +15,9 @@
     pub(super) valid_until: Micros,
 }
 
+/// One session's part of a server, as far as reports tell it: of a server that five sessions fill.
+pub(super) const MOST_TOLD: f64 = 0.2;
+
 impl Relay {
     /// Read from the servers with fresh answers, as a sample of all that are ready and not silent.
     pub(super) fn fleet_estimate(&mut self) -> FleetEstimate {
@@ -51,7 +54,7 @@
             let moment = (demand / k * all / (own_sessions * relays).max(1.0)).clamp(0.002, 0.05);
             let gain = if self.estimate.capacity > 0.0 { 0.08 } else { 1.0 };
             g.session_load = match held > 0.0 && self.own_sessions < FEW {
-                true => ((demand + PRIOR * g.session_load) / (held + PRIOR)).clamp(0.002, 0.05),
+                true => ((demand + PRIOR * g.session_load) / (held + PRIOR)).clamp(0.002, MOST_TOLD),
                 false => g.session_load + (moment - g.session_load) * gain,
             };
             let since = self.net_sessions.sum(self.now, g.report_age + LAG);
--- a/src/logic/memory.rs
+++ b/src/logic/memory.rs
@@ -1,5 +1,6 @@
 //! What a relay's decisions rest on, handed from a process to the one that takes its place. Decides nothing.
 
+use super::estimate::MOST_TOLD;
 use super::Relay;
 use crate::types::{Memory, Micros, Report, ServerId};
 
@@ -20,7 +21,7 @@
 
     /// Takes up what the process before knew; its own reports and dials are newer.
     pub(super) fn remember(&mut self, step: f64, servers: Vec<Memory>) {
-        self.estimate.session_load = step.clamp(0.002, 0.05);
+        self.estimate.session_load = step.clamp(0.002, MOST_TOLD);
         for m in servers {
             let Some(v) = self.servers.get_mut(&m.server) else { continue };
             let then = |ago| self.now.saturating_sub(ago);
