--- /dev/null
+++ b/soak/shim/faults.rs
@@ -0,0 +1,325 @@
+//! Fault injection for one relay process, loaded by LD_PRELOAD: system calls fail as Linux documents. Which
+//! ones, and how often, stands in a file that `FAULTS_FILE` names and the test harness changes meanwhile: an
+//! array of `SLOTS` 64-bit integers, by the indexes below. Chances are in a thousand calls.
+#![allow(clippy::missing_safety_doc)]
+use std::ffi::{c_char, c_int, c_long, c_void};
+use std::sync::atomic::{AtomicI64, AtomicPtr, AtomicU64, Ordering};
+
+const SLOTS: usize = 16;
+/// Reads and writes of TCP sockets that are interrupted (EINTR).
+const INTERRUPTED: usize = 0;
+/// Reads and writes of TCP sockets that take one byte.
+const SHORT: usize = 1;
+/// `connect` and `socket` that fail for a moment.
+const CONNECT: usize = 2;
+const SOCKET: usize = 3;
+/// `accept4` that fails for a moment.
+const ACCEPT: usize = 4;
+/// Reads that find the connection broken (ETIMEDOUT, EHOSTUNREACH): of backends and of clients.
+const BROKEN_BACKEND: usize = 5;
+const BROKEN_CLIENT: usize = 6;
+/// Seconds by which the wall clock is off.
+const WALL_CLOCK: usize = 7;
+/// Syncs (EIO) and writes of files (ENOSPC) that fail.
+const SYNC: usize = 8;
+const FILE_WRITE: usize = 9;
+/// Waits for events that are interrupted.
+const WAIT: usize = 10;
+/// TCP writes before which the process stands still for 0.15 s.
+const STALL: usize = 11;
+/// The port at which the relay listens for clients: no chance.
+const CLIENT_PORT: usize = 12;
+/// What was injected in all, counted here.
+const INJECTED: usize = 13;
+
+const EIO: c_int = 5;
+const EINTR: c_int = 4;
+const ENFILE: c_int = 23;
+const ENOSPC: c_int = 28;
+const EADDRNOTAVAIL: c_int = 99;
+const ENETUNREACH: c_int = 101;
+const ECONNABORTED: c_int = 103;
+const ENOBUFS: c_int = 105;
+const ETIMEDOUT: c_int = 110;
+const EHOSTUNREACH: c_int = 113;
+const AF_INET: u16 = 2;
+const SOCK_STREAM: c_int = 1;
+const SOL_SOCKET: c_int = 1;
+const SO_TYPE: c_int = 3;
+const RTLD_NEXT: *mut c_void = -1isize as *mut c_void;
+const STANDSTILL: Timespec = Timespec { seconds: 0, nanoseconds: 150_000_000 };
+
+#[repr(C)]
+pub struct Timespec {
+    seconds: i64,
+    nanoseconds: c_long,
+}
+
+#[repr(C)]
+struct InetAddress {
+    family: u16,
+    port: u16,
+    rest: [u8; 12],
+}
+
+extern "C" {
+    fn dlsym(handle: *mut c_void, name: *const c_char) -> *mut c_void;
+    fn __errno_location() -> *mut c_int;
+    fn getenv(name: *const c_char) -> *const c_char;
+    fn open(path: *const c_char, flags: c_int, ...) -> c_int;
+    fn mmap(at: *mut c_void, size: usize, protection: c_int, flags: c_int, fd: c_int, offset: i64)
+        -> *mut c_void;
+    fn getsockopt(fd: c_int, level: c_int, name: c_int, value: *mut c_void, size: *mut u32) -> c_int;
+    fn getsockname(fd: c_int, address: *mut InetAddress, size: *mut u32) -> c_int;
+    fn shutdown(fd: c_int, how: c_int) -> c_int;
+    fn nanosleep(time: *const Timespec, left: *mut Timespec) -> c_int;
+}
+
+static CONTROL: AtomicPtr<AtomicI64> = AtomicPtr::new(std::ptr::null_mut());
+static CHANCE: AtomicU64 = AtomicU64::new(0x9e37_79b9_7f4a_7c15);
+
+/// Maps the control file, once.
+fn control() -> Option<&'static [AtomicI64]> {
+    let mut at = CONTROL.load(Ordering::Acquire);
+    if at.is_null() {
+        // SAFETY: plain calls with whole arguments; the mapping lives as long as the process.
+        unsafe {
+            let path = getenv(c"FAULTS_FILE".as_ptr());
+            if path.is_null() {
+                return None;
+            }
+            const READ_WRITE: c_int = 2;
+            const SHARED: c_int = 1;
+            let fd = open(path, READ_WRITE);
+            let mapped = mmap(std::ptr::null_mut(), SLOTS * 8, 1 | 2, SHARED, fd, 0);
+            if mapped as isize == -1 {
+                return None;
+            }
+            at = mapped.cast();
+        }
+        CONTROL.store(at, Ordering::Release);
+    }
+    // SAFETY: the file has that size, and is changed by atomic stores alone.
+    Some(unsafe { std::slice::from_raw_parts(at, SLOTS) })
+}
+
+fn value(slot: usize) -> i64 {
+    control().map_or(0, |all| all[slot].load(Ordering::Relaxed))
+}
+
+/// Draws whether a call of this kind fails, and counts it.
+fn hits(slot: usize) -> Option<u64> {
+    let chance = value(slot);
+    if chance <= 0 {
+        return None;
+    }
+    let mut x = CHANCE.fetch_add(0x9e37_79b9_7f4a_7c15, Ordering::Relaxed);
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^= x >> 31;
+    let hit = (x % 1000) < chance as u64;
+    if hit {
+        control()?[INJECTED].fetch_add(1, Ordering::Relaxed);
+    }
+    hit.then_some(x >> 32)
+}
+
+fn fails(error: c_int) -> isize {
+    // SAFETY: the address is this thread's own.
+    unsafe { *__errno_location() = error };
+    -1
+}
+
+/// One of some errors.
+fn one_of(draw: u64, errors: &[c_int]) -> isize {
+    fails(errors[(draw % errors.len() as u64) as usize])
+}
+
+/// Whether it is a TCP socket, and its own port.
+fn tcp_port(fd: c_int) -> Option<u16> {
+    let (mut kind, mut size) = (0 as c_int, 4u32);
+    let mut address = InetAddress { family: 0, port: 0, rest: [0; 12] };
+    // SAFETY: the buffers have the sizes that are handed over.
+    unsafe {
+        let place: *mut c_int = &mut kind;
+        if getsockopt(fd, SOL_SOCKET, SO_TYPE, place.cast(), &mut size) != 0 || kind != SOCK_STREAM {
+            return None;
+        }
+        size = 16;
+        if getsockname(fd, &mut address, &mut size) != 0 || address.family != AF_INET {
+            return None;
+        }
+    }
+    Some(u16::from_be(address.port))
+}
+
+/// What a read meets, if anything: an interruption, or a connection that is broken from now on.
+fn read_fault(fd: c_int) -> Option<isize> {
+    let port = tcp_port(fd)?;
+    if hits(INTERRUPTED).is_some() {
+        return Some(fails(EINTR));
+    }
+    let side = if i64::from(port) == value(CLIENT_PORT) { BROKEN_CLIENT } else { BROKEN_BACKEND };
+    let draw = hits(side)?;
+    // SAFETY: it breaks a connection of this process.
+    unsafe { shutdown(fd, 2) };
+    Some(one_of(draw, &[ETIMEDOUT, EHOSTUNREACH]))
+}
+
+fn write_fault(fd: c_int) -> Option<isize> {
+    tcp_port(fd)?;
+    if hits(STALL).is_some() {
+        // SAFETY: it waits.
+        unsafe { nanosleep(&STANDSTILL, std::ptr::null_mut()) };
+    }
+    hits(INTERRUPTED).map(|_| fails(EINTR))
+}
+
+fn shortened(fd: c_int, size: usize) -> usize {
+    if size > 1 && value(SHORT) > 0 && tcp_port(fd).is_some() && hits(SHORT).is_some() { 1 } else { size }
+}
+
+/// The next definition of a function, as the dynamic linker finds it.
+macro_rules! next {
+    ($name:literal, $kind:ty) => {{
+        static FOUND: AtomicPtr<c_void> = AtomicPtr::new(std::ptr::null_mut());
+        let mut at = FOUND.load(Ordering::Relaxed);
+        if at.is_null() {
+            at = dlsym(RTLD_NEXT, $name.as_ptr());
+            FOUND.store(at, Ordering::Relaxed);
+        }
+        std::mem::transmute::<*mut c_void, $kind>(at)
+    }};
+}
+
+type Read = unsafe extern "C" fn(c_int, *mut c_void, usize) -> isize;
+type Receive = unsafe extern "C" fn(c_int, *mut c_void, usize, c_int) -> isize;
+type Write = unsafe extern "C" fn(c_int, *const c_void, usize) -> isize;
+type Send = unsafe extern "C" fn(c_int, *const c_void, usize, c_int) -> isize;
+type Vectored = unsafe extern "C" fn(c_int, *const c_void, c_int) -> isize;
+type Address = unsafe extern "C" fn(c_int, *const c_void, u32) -> c_int;
+type Accept = unsafe extern "C" fn(c_int, *mut c_void, *mut u32, c_int) -> c_int;
+type Socket = unsafe extern "C" fn(c_int, c_int, c_int) -> c_int;
+type Wait = unsafe extern "C" fn(c_int, *mut c_void, c_int, c_int) -> c_int;
+type ClockGet = unsafe extern "C" fn(c_int, *mut Timespec) -> c_int;
+type Sync = unsafe extern "C" fn(c_int) -> c_int;
+
+#[no_mangle]
+pub unsafe extern "C" fn read(fd: c_int, to: *mut c_void, size: usize) -> isize {
+    if let Some(fault) = read_fault(fd) {
+        return fault;
+    }
+    next!(c"read", Read)(fd, to, shortened(fd, size))
+}
+
+#[no_mangle]
+pub unsafe extern "C" fn recv(fd: c_int, to: *mut c_void, size: usize, flags: c_int) -> isize {
+    if let Some(fault) = read_fault(fd) {
+        return fault;
+    }
+    next!(c"recv", Receive)(fd, to, shortened(fd, size), flags)
+}
+
+#[no_mangle]
+pub unsafe extern "C" fn readv(fd: c_int, parts: *const c_void, count: c_int) -> isize {
+    if let Some(fault) = read_fault(fd) {
+        return fault;
+    }
+    next!(c"readv", Vectored)(fd, parts, count)
+}
+
+#[no_mangle]
+pub unsafe extern "C" fn write(fd: c_int, from: *const c_void, size: usize) -> isize {
+    if let Some(fault) = write_fault(fd) {
+        return fault;
+    }
+    if value(FILE_WRITE) > 0 && fd > 2 && is_file(fd) && hits(FILE_WRITE).is_some() {
+        return fails(ENOSPC);
+    }
+    next!(c"write", Write)(fd, from, shortened(fd, size))
+}
+
+#[no_mangle]
+pub unsafe extern "C" fn send(fd: c_int, from: *const c_void, size: usize, flags: c_int) -> isize {
+    if let Some(fault) = write_fault(fd) {
+        return fault;
+    }
+    next!(c"send", Send)(fd, from, shortened(fd, size), flags)
+}
+
+#[no_mangle]
+pub unsafe extern "C" fn writev(fd: c_int, parts: *const c_void, count: c_int) -> isize {
+    if let Some(fault) = write_fault(fd) {
+        return fault;
+    }
+    next!(c"writev", Vectored)(fd, parts, count)
+}
+
+#[no_mangle]
+pub unsafe extern "C" fn connect(fd: c_int, address: *const c_void, size: u32) -> c_int {
+    let inet = !address.is_null() && *address.cast::<u16>() == AF_INET;
+    if let Some(draw) = inet.then(|| hits(CONNECT)).flatten() {
+        return one_of(draw, &[ENETUNREACH, EADDRNOTAVAIL]) as c_int;
+    }
+    next!(c"connect", Address)(fd, address, size)
+}
+
+#[no_mangle]
+pub unsafe extern "C" fn socket(domain: c_int, kind: c_int, protocol: c_int) -> c_int {
+    let inet = domain == c_int::from(AF_INET);
+    if let Some(draw) = inet.then(|| hits(SOCKET)).flatten() {
+        return one_of(draw, &[ENFILE, ENOBUFS]) as c_int;
+    }
+    next!(c"socket", Socket)(domain, kind, protocol)
+}
+
+#[no_mangle]
+pub unsafe extern "C" fn accept4(fd: c_int, address: *mut c_void, size: *mut u32, flags: c_int) -> c_int {
+    if let Some(draw) = hits(ACCEPT) {
+        return one_of(draw, &[ECONNABORTED, ENFILE, ENOBUFS, EINTR]) as c_int;
+    }
+    next!(c"accept4", Accept)(fd, address, size, flags)
+}
+
+#[no_mangle]
+pub unsafe extern "C" fn epoll_wait(fd: c_int, events: *mut c_void, most: c_int, timeout: c_int) -> c_int {
+    if hits(WAIT).is_some() {
+        return fails(EINTR) as c_int;
+    }
+    next!(c"epoll_wait", Wait)(fd, events, most, timeout)
+}
+
+#[no_mangle]
+pub unsafe extern "C" fn clock_gettime(clock: c_int, time: *mut Timespec) -> c_int {
+    const REALTIME: c_int = 0;
+    let done = next!(c"clock_gettime", ClockGet)(clock, time);
+    if done == 0 && clock == REALTIME {
+        (*time).seconds += value(WALL_CLOCK);
+    }
+    done
+}
+
+/// Whether it is a regular file: sockets, pipes and event descriptors can't seek.
+unsafe fn is_file(fd: c_int) -> bool {
+    lseek(fd, 0, 1) >= 0
+}
+
+extern "C" {
+    fn lseek(fd: c_int, offset: i64, from: c_int) -> i64;
+}
+
+#[no_mangle]
+pub unsafe extern "C" fn fsync(fd: c_int) -> c_int {
+    if hits(SYNC).is_some() {
+        return fails(EIO) as c_int;
+    }
+    next!(c"fsync", Sync)(fd)
+}
+
+#[no_mangle]
+pub unsafe extern "C" fn fdatasync(fd: c_int) -> c_int {
+    if hits(SYNC).is_some() {
+        return fails(EIO) as c_int;
+    }
+    next!(c"fdatasync", Sync)(fd)
+}
