Interrupted socket calls are made again, and trouble of this machine is no server's fault

Cause: every error but WouldBlock ended a connection, so EINTR did; connect and socket that fail (no descriptor, port or route) counted as the server's miss and used up a session's dials in a moment, and two probes made all silent. Change: one module for socket calls (relay/src/socket.rs), used by buffers, dials, probes, discovery and operators; a dial that this machine could not begin is decided anew and is none of the session's; a client whose connection gave an error is still told BUSY or MOVE as far as it goes. Aborted accepts are followed by the next one at once.

--- a/relay/src/buffer.rs
+++ b/relay/src/buffer.rs
@@ -1,4 +1,5 @@
 //! One buffer a connection: nothing till bytes come, then small, grown as lines need it, compacted in place.
+use crate::socket;
 use socket2::SockRef;
 use std::io::{self, Read};
 use tokio::net::TcpStream;
@@ -81,13 +82,13 @@
 
     /// Reads once what is there, as far as the runtime knows of it.
     pub fn read(&mut self, stream: &TcpStream) -> io::Result<usize> {
-        self.read_with(|bytes| stream.try_read(bytes))
+        self.read_with(|bytes| socket::try_read(stream, bytes))
     }
 
     /// Reads once what lies there, also what the runtime has not been told of: it learns of bytes with its
     /// next look at all sockets.
     pub fn read_now(&mut self, stream: &TcpStream) -> io::Result<usize> {
-        self.read_with(|bytes| (&*SockRef::from(stream)).read(bytes))
+        self.read_with(|bytes| socket::uninterrupted(|| (&*SockRef::from(stream)).read(bytes)))
     }
 
     fn read_with(&mut self, read: impl FnOnce(&mut [u8]) -> io::Result<usize>) -> io::Result<usize> {
@@ -138,7 +139,7 @@
 
     /// Writes what it can of the whole lines.
     pub fn write(&mut self, stream: &TcpStream) -> io::Result<usize> {
-        let count = stream.try_write(self.lines())?;
+        let count = socket::try_write(stream, self.lines())?;
         self.take(count);
         Ok(count)
     }
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod reducer;
 pub mod release;
 pub mod shelf;
+pub mod socket;
 pub mod status;
 pub mod talk;
 pub mod values;
--- a/relay/src/net/accept.rs
+++ b/relay/src/net/accept.rs
@@ -2,6 +2,7 @@
 use super::{first_line, Hub};
 use crate::clock::span;
 use crate::reducer::Event;
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::sync::Arc;
 use tokio::net::{TcpListener, TcpStream};
@@ -48,6 +49,11 @@
                 _ = stream.set_nodelay(true);
                 return stream;
             }
+            // A client that left before it was taken, or a signal: the next one is there at once.
+            Err(e) if matches!(e.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {
+                slog::debug!(hub.log, "{} was not accepted", what; "error" => %e);
+                tokio::task::yield_now().await;
+            }
             Err(e) => {
                 slog::warn!(hub.log, "{} could not be accepted", what; "error" => %e);
                 tokio::time::sleep(span(REST)).await;
--- a/relay/src/net/admit.rs
+++ b/relay/src/net/admit.rs
@@ -74,6 +74,9 @@
                         hub.tell(Event::DialEnded { sess: conn, dial, end, report }).await;
                         return end::answer(client, &line.0, &mut commands, hub).await;
                     }
+                    Next::Ended(dial::Ended::NotBegun) => {
+                        hub.tell(Event::NotBegun { sess: conn, dial }).await;
+                    }
                     Next::Ended(dial::Ended::Not(end, report)) => {
                         hub.tell(Event::DialEnded { sess: conn, dial, end, report }).await;
                     }
--- a/relay/src/net/dial.rs
+++ b/relay/src/net/dial.rs
@@ -5,6 +5,7 @@
 use crate::clock::span;
 use crate::lines::{self, Said};
 use crate::reducer::Event;
+use crate::socket::{self, NotConnected};
 use hallrelay::types::{DialEnd, Micros, Report};
 use std::net::SocketAddr;
 use tokio::net::TcpStream;
@@ -30,6 +31,8 @@
     /// Served to its end at once, with this line.
     Over((Vec<u8>, Option<Report>)),
     Not(DialEnd, Option<Report>),
+    /// Not begun: this machine could not, which is no fault of the backend's.
+    NotBegun,
     /// Not begun: its client does not wait any more.
     Client(State),
 }
@@ -51,9 +54,14 @@
     if moot() {
         return Ended::Not(DialEnd::Moot, None);
     }
-    let connected = timeout_at(over.min(hub.clock.at(by)), TcpStream::connect(addr)).await;
-    let Ok(Ok(stream)) = connected else { return never };
-    _ = stream.set_nodelay(true);
+    let stream = match socket::connect(addr, over.min(hub.clock.at(by))).await {
+        Ok(stream) => stream,
+        Err(NotConnected::Local(why)) => {
+            slog::warn!(hub.log, "this machine can't connect"; "error" => %why);
+            return Ended::NotBegun;
+        }
+        Err(NotConnected::Remote(_) | NotConnected::Late) => return never,
+    };
     if let stirred @ (State::More | State::Ended) = read::now(client) {
         return Ended::Client(stirred);
     }
--- a/relay/src/net/discovery.rs
+++ b/relay/src/net/discovery.rs
@@ -4,6 +4,7 @@
 use super::Hub;
 use crate::clock::span;
 use crate::reducer::Event;
+use crate::socket::{self, Steady};
 use crate::values::{Part, Values};
 use hallrelay_config::list::{self, List};
 use http_body_util::{BodyExt, Empty, Limited};
@@ -12,7 +13,7 @@
 use hyper::{header, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
-use tokio::net::TcpStream;
+use std::time::Duration;
 use tokio::time::{sleep_until, timeout, Instant};
 
 /// Watches until the watch breaks, and tells of that.
@@ -30,8 +31,11 @@
 }
 
 async fn call(addr: SocketAddr, path: &str) -> Result<Incoming, String> {
-    let stream = TcpStream::connect(addr).await.map_err(|e| e.to_string())?;
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
+    // The callers' limit on the whole call is the shorter one.
+    const CONNECT: Duration = Duration::from_secs(10);
+    let stream = socket::connect(addr, Instant::now() + CONNECT).await.map_err(|e| e.to_string())?;
+    let stream = TokioIo::new(Steady(stream));
+    let (mut sender, connection) = http1::handshake(stream).await.map_err(|e| e.to_string())?;
     // Ends with the answer's body, or as the sender is dropped.
     tokio::task::spawn_local(connection);
     let ask = Request::get(path).header(header::HOST, addr.to_string()).body(Empty::<Bytes>::new());
--- a/relay/src/net/end.rs
+++ b/relay/src/net/end.rs
@@ -1,6 +1,7 @@
 //! How connections end: a last line, then an end in the way the other side ended.
 use super::{Command, Hub};
 use crate::clock::span;
+use crate::socket;
 use hallrelay::types::Micros;
 use socket2::SockRef;
 use std::net::Shutdown;
@@ -26,7 +27,7 @@
 
 /// Says a last line as far as it goes at once, and ends.
 pub fn at_once(client: TcpStream, line: &[u8]) {
-    _ = client.try_write(line);
+    _ = socket::try_write(&client, line);
 }
 
 /// Writes a line whole within a time; false where it could not.
@@ -34,7 +35,7 @@
     let all = async {
         while !line.is_empty() {
             stream.writable().await?;
-            match stream.try_write(line) {
+            match socket::try_write(stream, line) {
                 Ok(count) => line = &line[count..],
                 Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
                 Err(e) => return Err(e),
@@ -53,7 +54,7 @@
     }
     let drain = async {
         while stream.readable().await.is_ok() {
-            match stream.try_read(&mut hub.waste.borrow_mut()) {
+            match socket::try_read(&stream, &mut hub.waste.borrow_mut()) {
                 Ok(0) => return,
                 Err(e) if e.kind() != std::io::ErrorKind::WouldBlock => return,
                 _ => {}
--- a/relay/src/net/first_line.rs
+++ b/relay/src/net/first_line.rs
@@ -16,8 +16,9 @@
     Line(Vec<u8>),
     /// Some bytes of one.
     Part,
-    /// The end, before a line was whole.
+    /// The end, before a line was whole; or the connection broke.
     Ended,
+    Broke,
     /// Too long a line, or none in time.
     Odd,
     Told(Option<Command>),
@@ -42,6 +43,7 @@
                 Ok(Some(line)) => Next::Line(line),
                 Ok(None) => Next::Part,
                 Err(Unfit::Ended) => Next::Ended,
+                Err(Unfit::Broke) => Next::Broke,
                 Err(Unfit::Long) => Next::Odd,
             },
             command = commands.recv() => Next::Told(command),
@@ -57,6 +59,8 @@
                 continue;
             }
             Next::Ended => return,
+            // Nothing of it ran; whoever is there still may come again.
+            Next::Broke => return end::at_once(client, &lines::busy(0)),
             Next::Odd => return admit::spurned(conn, client, commands, hub).await,
             Next::Told(Some(Command::Shed)) => {
                 // Its line may lie there unread, in more than one read: then it is a session like others.
--- a/relay/src/net/pass.rs
+++ b/relay/src/net/pass.rs
@@ -171,7 +171,11 @@
                 }
                 return;
             }
-            Over::ClientBroke => return end::abrupt(backend),
+            Over::ClientBroke => {
+                end::abrupt(backend);
+                // Guards a client that is there still: whatever broke, it is told as far as it can be.
+                return say(client, &down, lines::MOVE, &mut commands, hub).await;
+            }
             Over::Closed => return,
             Over::Backend(how, report) => {
                 hub.tell(Event::Ended { sess: conn, end: how, report }).await;
--- a/relay/src/net/probe.rs
+++ b/relay/src/net/probe.rs
@@ -4,11 +4,12 @@
 use crate::clock::span;
 use crate::lines::{self, Said};
 use crate::reducer::Event;
+use crate::socket::{self, NotConnected};
 use hallrelay::types::{DialEnd, Report, ServerId};
 use std::net::SocketAddr;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::Receiver;
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 /// Serves the probes that are asked for until nobody can ask any more.
 pub async fn run(server: ServerId, keep: bool, mut asked: Receiver<SocketAddr>, hub: Hub) {
@@ -57,19 +58,18 @@
 /// A kept connection that says something unasked, or has ended, is of no use.
 fn idle(stream: &TcpStream) -> bool {
     let mut byte = [0u8; 1];
-    matches!(stream.try_read(&mut byte), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
+    matches!(socket::try_read(stream, &mut byte), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
 }
 
 type Fault = (DialEnd, Option<Report>);
 
 async fn connect(addr: SocketAddr, hub: &Hub) -> Result<TcpStream, Fault> {
-    match timeout(span(hub.limits().connect), TcpStream::connect(addr)).await {
-        Ok(Ok(stream)) => {
-            _ = stream.set_nodelay(true);
-            Ok(stream)
-        }
-        _ => Err((DialEnd::Unconnected, None)),
-    }
+    let by = Instant::now() + span(hub.limits().connect);
+    socket::connect(addr, by).await.map_err(|why| match why {
+        // Guards all servers against trouble of this machine: it tells nothing of them.
+        NotConnected::Local(_) => (DialEnd::Moot, None),
+        NotConnected::Remote(_) | NotConnected::Late => (DialEnd::Unconnected, None),
+    })
 }
 
 async fn ask(stream: &TcpStream, buffer: &mut Buffer, hub: &Hub) -> Result<Option<Report>, Fault> {
--- a/relay/src/net/read.rs
+++ b/relay/src/net/read.rs
@@ -3,6 +3,7 @@
 use super::end;
 use crate::buffer::Buffer;
 use crate::lines;
+use crate::socket;
 use socket2::SockRef;
 use std::io::{ErrorKind, Read};
 use tokio::net::TcpStream;
@@ -10,6 +11,7 @@
 /// Why there is no next line.
 pub enum Unfit {
     Ended,
+    Broke,
     Long,
 }
 
@@ -27,9 +29,9 @@
 /// next look at all sockets, which may be after a dial that it was to prevent. A byte that came is lost:
 /// whoever sends one is not served.
 pub fn now(stream: &TcpStream) -> State {
-    match (&*SockRef::from(stream)).read(&mut [0]) {
+    match socket::uninterrupted(|| (&*SockRef::from(stream)).read(&mut [0])) {
         Ok(1..) => State::More,
-        Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => State::Waits,
+        Err(e) if e.kind() == ErrorKind::WouldBlock => State::Waits,
         Ok(0) | Err(_) => State::Ended,
     }
 }
@@ -46,8 +48,12 @@
 /// The next whole line, or none where only a part of it has come by now.
 pub async fn more(stream: &TcpStream, buffer: &mut Buffer, most: usize) -> Result<Option<Vec<u8>>, Unfit> {
     let ready = buffer.take_line();
-    if ready.is_none() && !matches!(buffer.fill(stream).await, Ok(1..)) {
-        return Err(Unfit::Ended);
+    if ready.is_none() {
+        match buffer.fill(stream).await {
+            Ok(1..) => {}
+            Ok(0) => return Err(Unfit::Ended),
+            Err(_) => return Err(Unfit::Broke),
+        }
     }
     match ready.or_else(|| buffer.take_line()) {
         Some(line) if line.len() > most => Err(Unfit::Long),
--- a/relay/src/reducer/events.rs
+++ b/relay/src/reducer/events.rs
@@ -90,6 +90,11 @@
         sess: SessId,
         dial: u32,
     },
+    /// This machine could not begin the dial.
+    NotBegun {
+        sess: SessId,
+        dial: u32,
+    },
     DialEnded {
         sess: SessId,
         dial: u32,
--- a/relay/src/reducer/mod.rs
+++ b/relay/src/reducer/mod.rs
@@ -243,6 +243,7 @@
             Event::DialEnded { sess, dial, end, report } if self.current(sess, dial) => {
                 self.dial_ended(sess, dial, end, report, out);
             }
+            Event::NotBegun { sess, dial } if self.current(sess, dial) => self.not_begun(sess, dial, out),
             Event::Ended { sess, end, report } => {
                 let Some(s) = self.over(sess) else { return };
                 let dial = s.dials.saturating_sub(1);
@@ -276,7 +277,11 @@
             Event::Alarm(alarm) => self.alarm(alarm, out),
             Event::Stop => _ = self.turn(Sign::Stop, out),
             // Of a dial or a session that is over.
-            Event::Up { .. } | Event::DialEnded { .. } | Event::Load { .. } | Event::Took { .. } => {}
+            Event::Up { .. }
+            | Event::DialEnded { .. }
+            | Event::NotBegun { .. }
+            | Event::Load { .. }
+            | Event::Took { .. } => {}
         }
     }
 
--- a/relay/src/reducer/sessions.rs
+++ b/relay/src/reducer/sessions.rs
@@ -4,6 +4,10 @@
 use hallrelay::types::{Asked, DialEnd, Input, Micros, Report, SessId};
 use std::rc::Rc;
 
+/// Between two dials of a standing connection: often enough within the time that these have, seldom enough for
+/// a full backend.
+const STANDING_AGAIN: Micros = 200_000;
+
 /// The program's own answer after so many dials: a refusal where nothing was sent, else a failure.
 pub(super) fn owed(sess: SessId, dials: u32) -> Effect {
     match dials {
@@ -202,10 +206,7 @@
         let Some(s) = self.sessions.get_mut(&sess) else { return };
         s.stage = Stage::Admit;
         if s.standing {
-            // Often enough within the time that standing connections have, seldom enough for a full backend.
-            const AGAIN: Micros = 200_000;
-            let alarm = Alarm::Again(sess);
-            return out.push(Effect::Alarm { after: AGAIN, alarm });
+            return out.push(Effect::Alarm { after: STANDING_AGAIN, alarm: Alarm::Again(sess) });
         }
         let server = s.server;
         // Served to its end at once: its last line is its answer.
@@ -219,6 +220,17 @@
         self.tell(Input::DialEnded { sess, dial, end, settled, report }, out);
     }
 
+    /// A dial that this machine could not begin is none: it is decided anew, as long as the session waits.
+    pub(super) fn not_begun(&mut self, sess: SessId, dial: u32, out: &mut Vec<Effect>) {
+        let Some(s) = self.sessions.get_mut(&sess) else { return };
+        s.stage = Stage::Admit;
+        if s.standing {
+            return out.push(Effect::Alarm { after: STANDING_AGAIN, alarm: Alarm::Again(sess) });
+        }
+        s.dials -= 1;
+        self.tell(Input::NotBegun { sess, dial }, out);
+    }
+
     /// A figure that a backend told. Backends that tell message delays use the same word for them, so a slow
     /// one would pass for one with light sessions. A delay, in milliseconds, comes each second on one
     /// connection, a load at odd times. Of 87 figures a second apart, to 10 ms, 84 were so to the
--- /dev/null
+++ b/relay/src/socket.rs
@@ -0,0 +1,145 @@
+//! Socket calls as Linux documents them: interrupted ones are made again, and failures to connect are told
+//! apart by whether they lie at this machine or at the other one.
+use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout_at, Instant};
+
+/// Makes a call till it is not interrupted (EINTR): nothing was done then, and nothing is wrong.
+///
+/// # Errors
+/// All others that the call gives.
+pub fn uninterrupted<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    loop {
+        match call() {
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            done => return done,
+        }
+    }
+}
+
+/// Reads what the runtime knows to be there.
+///
+/// # Errors
+/// `WouldBlock` where nothing is; any other one is of a connection that is over.
+pub fn try_read(stream: &TcpStream, to: &mut [u8]) -> io::Result<usize> {
+    uninterrupted(|| stream.try_read(to))
+}
+
+/// Writes as much as there is room for.
+///
+/// # Errors
+/// `WouldBlock` where there is none; any other one is of a connection that is over.
+pub fn try_write(stream: &TcpStream, bytes: &[u8]) -> io::Result<usize> {
+    uninterrupted(|| stream.try_write(bytes))
+}
+
+/// Why there is no connection.
+#[derive(Debug)]
+pub enum NotConnected {
+    /// This machine could not begin one: no descriptor, port, memory or route just now. It tells nothing of the
+    /// other side.
+    Local(io::Error),
+    /// The other side refused it, or can't be reached.
+    Remote(io::Error),
+    /// It did not come up in time.
+    Late,
+}
+
+impl std::fmt::Display for NotConnected {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            NotConnected::Local(e) => write!(f, "this machine can't connect: {e}"),
+            NotConnected::Remote(e) => write!(f, "{e}"),
+            NotConnected::Late => write!(f, "no connection came up in time"),
+        }
+    }
+}
+
+/// Whether a failure to connect lies at this machine.
+fn is_local(error: &io::Error) -> bool {
+    const LOCAL: [i32; 9] = [
+        libc::EMFILE,
+        libc::ENFILE,
+        libc::ENOBUFS,
+        libc::ENOMEM,
+        libc::EADDRNOTAVAIL,
+        libc::ENETUNREACH,
+        libc::ENETDOWN,
+        libc::EAGAIN,
+        libc::EINTR,
+    ];
+    error.raw_os_error().is_some_and(|number| LOCAL.contains(&number))
+}
+
+/// Connects. While this machine can't, it is tried again, bounded by `by`.
+///
+/// # Errors
+/// As `NotConnected` tells.
+pub async fn connect(addr: SocketAddr, by: Instant) -> Result<TcpStream, NotConnected> {
+    // Seldom enough not to spin, often against the shortest limit of a connect (40 ms).
+    const REST: Duration = Duration::from_millis(10);
+    let mut local = None;
+    let attempts = async {
+        loop {
+            match TcpStream::connect(addr).await {
+                Err(e) if is_local(&e) => local = Some(e),
+                done => return done,
+            }
+            sleep(REST).await;
+        }
+    };
+    match timeout_at(by, attempts).await {
+        Ok(Ok(stream)) => {
+            // Lines are short and wait for nothing.
+            _ = stream.set_nodelay(true);
+            Ok(stream)
+        }
+        Ok(Err(e)) => Err(NotConnected::Remote(e)),
+        Err(_) => Err(local.map_or(NotConnected::Late, NotConnected::Local)),
+    }
+}
+
+/// A connection whose interrupted calls are made again, for code that takes an interruption for its end.
+pub struct Steady(pub TcpStream);
+
+impl AsyncRead for Steady {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        to: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        uninterrupted_poll(|| Pin::new(&mut self.0).poll_read(context, to))
+    }
+}
+
+impl AsyncWrite for Steady {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        uninterrupted_poll(|| Pin::new(&mut self.0).poll_write(context, bytes))
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_shutdown(context)
+    }
+}
+
+fn uninterrupted_poll<T>(mut poll: impl FnMut() -> Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+    loop {
+        match poll() {
+            Poll::Ready(Err(e)) if e.kind() == ErrorKind::Interrupted => {}
+            done => return done,
+        }
+    }
+}
--- a/soak/shim/faults.rs
+++ b/soak/shim/faults.rs
@@ -299,9 +299,13 @@
     done
 }
 
-/// Whether it is a regular file: sockets, pipes and event descriptors can't seek.
+/// Whether it is a regular file: neither sockets nor pipes can seek, and event descriptors stay at 0 wherever
+/// they are told to go.
 unsafe fn is_file(fd: c_int) -> bool {
-    lseek(fd, 0, 1) >= 0
+    const FROM_START: c_int = 0;
+    const FROM_HERE: c_int = 1;
+    let here = lseek(fd, 0, FROM_HERE);
+    here > 0 || here == 0 && lseek(fd, 1, FROM_START) == 1 && lseek(fd, 0, FROM_START) == 0
 }
 
 extern "C" {
--- a/src/logic/mod.rs
+++ b/src/logic/mod.rs
@@ -123,6 +123,10 @@
                 self.dial_ended(sess, end, report);
                 self.advance(sess, if settled { Event::Ended } else { Event::DialFailed }, out);
             }
+            Input::NotBegun { sess, dial } if self.is_last_dial(sess, dial) => {
+                self.sessions.entry(sess).and_modify(|s| s.dials -= 1);
+                self.advance(sess, Event::DialFailed, out);
+            }
             Input::Load { sess, load } => {
                 // A running mean over some fifty inputs, to set a heavy session apart from a light one.
                 self.mean_load += (load - self.mean_load) * if self.mean_load > 0.0 { 0.02 } else { 1.0 };
--- a/src/logic/probes.rs
+++ b/src/logic/probes.rs
@@ -34,8 +34,8 @@
         if end == DialEnd::Ok {
             v.misses = 0;
             v.record_report(self.now, report);
-        } else if end != DialEnd::Full {
-            v.misses += 1; // a full one lives, and nothing else is learnt
+        } else if !matches!(end, DialEnd::Full | DialEnd::Moot) {
+            v.misses += 1; // a full one lives; of one that was not asked nothing is learnt
         }
         self.estimate.valid_until = self.now;
     }
--- a/src/types.rs
+++ b/src/types.rs
@@ -185,6 +185,11 @@
         settled: bool,
         report: Option<Report>,
     },
+    /// Its last dial could not be begun by this machine: it takes no part of the session's dials.
+    NotBegun {
+        sess: SessId,
+        dial: u32,
+    },
     Left {
         sess: SessId,
     },
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -149,6 +149,7 @@
             let (dial, settled) = (num(at(2)?)?, words.contains(&"settled"));
             Ok(Input::DialEnded { sess, dial, end: dial_end(at(3)?)?, settled, report: None })
         }),
+        "unbegun" => each(&|sess| Ok(Input::NotBegun { sess, dial: num(at(2)?)? })),
         "remember" => {
             let figure = |key| option(words, key).map(num::<f64>).transpose();
             let ago = |key| option(words, key).map_or(Ok(0), millis);
