Tests: a wall clock that is off by an hour, and a stop while clients go on coming

Cause: the list's starting times are compared with this process' wall clock as it was at its start; a stop ends only when no session is there at a tick, so clients that go on coming keep it.

--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -223,13 +223,15 @@
             "list" => {
                 let names = words[3..].iter().filter(|word| !word.contains('='));
                 let instances = names.map(|word| {
+                    let (word, started) = word.split_once('@').unwrap_or((word, "0"));
                     let (id, mark) = word.split_once(':').unwrap_or((word, ""));
                     let phase = match mark {
                         "" => "up",
                         "gone" => "removed",
                         other => other,
                     };
-                    json!({"instanceId": id, "hostPort": addr(id), "lifecycle": phase})
+                    let started = started.parse::<u64>().unwrap_or(0);
+                    json!({"instanceId": id, "hostPort": addr(id), "lifecycle": phase, "startedAtMs": started})
                 });
                 let list = json!({"generation": num::<u64>(at(2)?)?, "reset": at(1)? == "full",
                     "instances": instances.collect::<Vec<_>>()});
