A stop ends before the kill whoever comes, and servers' starts go by this process' clock

Cause and change, both as the failing scenarios show: (1) a stop ended only where no session was there at a tick, so clients that went on coming kept it (duty.rs, empty): once all are to be moved, whoever comes is refused at once, and the process leaves a moment before it may be killed whatever it waits for.

--- a/relay/src/reducer/duty.rs
+++ b/relay/src/reducer/duty.rs
@@ -216,6 +216,11 @@
         self.draining().is_none() || self.now < self.since + self.node.limits.drain_takes
     }
 
+    /// Whether all sessions are to be gone by now: who comes still is refused at once, and holds up no stop.
+    pub(super) fn leaves(&self) -> bool {
+        self.stops() && self.now >= self.since + self.duty.plan(&self.node.limits).1
+    }
+
     /// Moves the open sessions bit by bit, so that the backends are not asked for all of them at once.
     pub(super) fn empty(&mut self, out: &mut Vec<Effect>) {
         const TICK: Micros = 50_000;
@@ -234,7 +239,9 @@
                 out.extend(self.aside.drain(..).map(|(conn, _)| Effect::Shed { conn }));
             }
             let empty = self.sessions.is_empty() && left;
-            if empty && (since >= limits.stop_least || self.duty == Leaving) {
+            // At the latest a moment before it may be killed: whoever is there was answered or told to move.
+            let late = since >= limits.stop_end + 2 * TICK;
+            if late || empty && (since >= limits.stop_least || self.duty == Leaving) {
                 self.leave_fleet(out);
                 return out.push(Effect::Exit);
             }
--- a/relay/src/reducer/evidence.rs
+++ b/relay/src/reducer/evidence.rs
@@ -64,7 +64,7 @@
         }
         let mut one = v.told.clone();
         one.came_up = self.now;
-        let entry = self.entry(one);
+        let entry = self.entry(one, ListKind::Changes);
         self.tell(Input::List { kind: ListKind::Changes, entries: vec![entry] }, out);
     }
 }
--- a/relay/src/reducer/keep.rs
+++ b/relay/src/reducer/keep.rs
@@ -1,7 +1,7 @@
 //! What a relay keeps across restarts: what goes to the store as it happens, and what a start makes of it.
-use super::{note, Effect, Reducer};
+use super::{note, Effect, Reducer, Server};
 use hallrelay::types::{Input, Memory, Micros, Phase, ServerId, SessId};
-use hallrelay_config::list::{Instance, List};
+use hallrelay_config::list::List;
 use hallrelay_recovery::{recover, Kept, Recovered, Returning, Stored, View};
 
 impl Reducer {
@@ -49,8 +49,8 @@
     /// How far this relay is on its way back.
     pub(super) fn returning(&self) -> Returning {
         let warm_up = self.node.site.facts.cold;
-        let there = self.servers.values().map(|v| &v.told).filter(|told| told.phase == Phase::Ready);
-        let cold = |told: &&Instance| told.came_up > 0 && self.now < told.came_up + warm_up;
+        let there = self.servers.values().filter(|v| v.told.phase == Phase::Ready);
+        let cold = |v: &&Server| v.is_cold(self.now, warm_up);
         Returning::of(&View {
             servers: there.clone().count(),
             cold: there.filter(cold).count(),
@@ -95,14 +95,14 @@
         if self.node.state.is_none() {
             return;
         }
-        let Some(told) = self.servers.get(&server).map(|v| &v.told) else { return };
-        if told.came_up == 0 || self.now >= told.came_up + self.node.site.facts.cold {
+        let Some(v) = self.servers.get(&server) else { return };
+        if !v.is_cold(self.now, self.node.site.facts.cold) {
             return;
         }
         let (_, all) = self.module.memory(self.now);
         let spent = all.iter().any(|m| m.server == server && m.turn == (0, 1.0));
         if spent {
-            let kept = Kept::turn(&told.id, self.now);
+            let kept = Kept::turn(&v.told.id, self.now);
             out.push(Effect::Keep { kept, before: Some(sess) });
         }
     }
--- a/relay/src/reducer/look.rs
+++ b/relay/src/reducer/look.rs
@@ -188,7 +188,7 @@
         let warm_up = self.node.site.facts.cold;
         let seen = self.servers.values().filter(|v| v.told.phase != Phase::Gone).map(|v| {
             let told = &v.told;
-            let cold = told.came_up > 0 && self.now < told.came_up + warm_up;
+            let cold = v.is_cold(self.now, warm_up);
             let silent = v.misses >= MISSES || v.refused >= MISSES;
             let condition = match told.phase {
                 Phase::Ready if silent => Condition::Down,
--- a/relay/src/reducer/mod.rs
+++ b/relay/src/reducer/mod.rs
@@ -78,6 +78,8 @@
 struct Server {
     /// As the list told it last.
     told: Instance,
+    /// When it started, by this process' clock; 0 is long ago.
+    started: Micros,
     probing: bool,
     /// Probes in a row without any answer.
     misses: u32,
@@ -88,6 +90,13 @@
     tally: Tally,
 }
 
+impl Server {
+    /// Whether it has started so short a time ago that it warms up still.
+    fn is_cold(&self, now: Micros, warm_up: Micros) -> bool {
+        self.started > 0 && now < self.started.saturating_add(warm_up)
+    }
+}
+
 /// What the module was told of a server's message delays.
 #[derive(Default)]
 struct Delay {
@@ -138,8 +147,9 @@
     agreed: Option<Box<agreed::Agreed>>,
     /// What was told of this relay's own sessions.
     tallied: Tally,
-    /// When discovery spoke last in this life, and how often others told of the list before it did.
+    /// When discovery spoke last in this life, and before that; how often others told of the list before it did.
     spoken: Option<Micros>,
+    spoken_before: Option<Micros>,
     hearsay: u32,
     /// One of those had heard it of discovery itself.
     informed: bool,
@@ -171,6 +181,7 @@
             agreed: None,
             tallied: Tally::default(),
             spoken: None,
+            spoken_before: None,
             hearsay: 0,
             informed: false,
             gone: BTreeMap::new(),
--- a/relay/src/reducer/servers.rs
+++ b/relay/src/reducer/servers.rs
@@ -1,6 +1,6 @@
 //! The servers that the list names, what is known of them by probes, and when they are forgotten.
 use super::{note, Delay, Effect, Reducer, Server, Stage};
-use hallrelay::types::{DialEnd, Entry, Input, ListKind, Phase, ServerId};
+use hallrelay::types::{DialEnd, Entry, Input, ListKind, Micros, Phase, ServerId};
 use hallrelay_config::list::{Instance, List};
 use hallrelay_grants::judge::Tally;
 
@@ -37,13 +37,13 @@
             let there = held.map(|v| &v.told).filter(|told| told.phase == Phase::Ready);
             instances.extend(there.map(|told| Instance { phase: Phase::Draining, ..told.clone() }));
         }
-        let entries = instances.into_iter().map(|one| self.entry(one)).collect();
+        let entries = instances.into_iter().map(|one| self.entry(one, kind)).collect();
         self.tell(Input::List { kind, entries }, out);
         self.forget(out);
         self.pong(out);
     }
 
-    pub(super) fn entry(&mut self, one: Instance) -> Entry {
+    pub(super) fn entry(&mut self, one: Instance, kind: ListKind) -> Entry {
         let server = match self.ids.get(&one.id) {
             Some(&server) => server,
             None => {
@@ -55,8 +55,10 @@
                 server
             }
         };
+        let started = self.started_here(server, one.came_up, kind);
         let fresh = || Server {
             told: one.clone(),
+            started,
             probing: false,
             misses: 0,
             refused: 0,
@@ -64,11 +66,35 @@
             tally: Tally::default(),
         };
         let v = self.servers.entry(server).or_insert_with(fresh);
-        v.told = one.clone();
+        (v.told, v.started) = (one.clone(), started);
         let zone = self.node.site.zones.iter().position(|name| *name == one.zone);
         let zone = zone.and_then(|at| u8::try_from(at).ok()).unwrap_or(u8::MAX);
         let phase = self.phase(&one);
-        Entry { server, phase, came_up: one.came_up, zone, cell: one.cell }
+        Entry { server, phase, came_up: started, zone, cell: one.cell }
+    }
+
+    /// When a server started, by this process' clock. The list's times are of another machine's wall clock, and
+    /// either clock may have been set: a start that lies ahead is none of this clock's, nor is one of a server that a
+    /// change names first which lies long before the list that did not name it. Such a server counts as started
+    /// now, since it may be cold. (A whole list may name what started at any time.)
+    fn started_here(&self, server: ServerId, came_up: Micros, kind: ListKind) -> Micros {
+        // Discovery notices a start late, by some ten seconds at most, and tells it later still where it is slow.
+        const LATE: Micros = 60_000_000;
+        if came_up == 0 {
+            return 0;
+        }
+        let held = self.servers.get(&server);
+        if let Some(v) = held.filter(|v| v.told.came_up == came_up && v.started > 0) {
+            return v.started;
+        }
+        let ahead = came_up > self.now;
+        let before = self.spoken_before.filter(|_| kind == ListKind::Changes);
+        let long_ago = before.is_some_and(|then| came_up.saturating_add(LATE) < then);
+        if ahead || long_ago {
+            self.now
+        } else {
+            came_up
+        }
     }
 
     /// What is gone is forgotten once nothing names it, or a long life would gather all there ever were.
--- a/relay/src/reducer/sessions.rs
+++ b/relay/src/reducer/sessions.rs
@@ -115,7 +115,7 @@
         // The descriptors that the process before this one holds are this one's too.
         let full =
             self.shared.1 > 0 && self.sessions.len() as u32 + self.shared.1 > self.node.limits.sessions;
-        if full || !self.takes() {
+        if full || !self.takes() || self.leaves() {
             return self.answer(sess, Effect::Refuse { sess, retry_after: 0 }, out);
         }
         out.push(Effect::Alarm { after: left, alarm: Alarm::Due(sess) });
--- a/relay/src/reducer/watch.rs
+++ b/relay/src/reducer/watch.rs
@@ -29,7 +29,7 @@
         } else if w.before != Some(watch) {
             return;
         }
-        self.spoken = Some(self.now);
+        self.spoken_before = self.spoken.replace(self.now);
         self.remember_gone(&list);
         self.keep_list(&list, out);
         self.list(list, out);
