Store: what a killed process wrote last is written anew before anything is promised

Cause: Store::open took the last record, and the log's name, for durable where a sync succeeded at open. After a sync that failed (EIO) the system holds the pages for written, so the next one succeeds with nothing on the disk; the next process appended behind a hole, and a power cut took what it had promised. Change: the last record is written again in place and synced, and the folder's names synced, at open or else before the next commit (log.rs, settle).

--- a/store/src/log.rs
+++ b/store/src/log.rs
@@ -82,6 +82,8 @@
     doubtful: bool,
     /// A switch's new name may not outlive a cut: nothing is promised on that file till it does.
     nameless: bool,
+    /// The last record of a process before this one, and its place, till it is written anew.
+    unsynced: Option<(u64, Vec<u8>)>,
     pub found: Found,
 }
 
@@ -162,6 +164,8 @@
     entries: Vec<Entry>,
     records: u64,
     end: u64,
+    /// The last record, and where it stands.
+    last: Option<(u64, Vec<u8>)>,
 }
 
 /// None where the head is not whole: the file never held anything that was promised.
@@ -178,7 +182,7 @@
         return Err(Fault::Format(format!("the store's format is {}, wanted {FORMAT}", front[7])));
     }
     let generation = u64::from_le_bytes(front[8..16].try_into().unwrap_or_default());
-    let mut all = Read { generation, entries: Vec::new(), records: 0, end: HEAD as u64 };
+    let mut all = Read { generation, entries: Vec::new(), records: 0, end: HEAD as u64, last: None };
     let mut at = HEAD;
     while let Some(frame) = bytes.get(at..at + FRAME) {
         let len = sum_of(&frame[..4]) as usize;
@@ -188,6 +192,7 @@
         }
         let Some(entries) = read_batch(body) else { break };
         all.entries.extend(entries);
+        all.last = Some((at as u64, bytes[at..at + FRAME + len].to_vec()));
         at += FRAME + len;
         (all.records, all.end) = (all.records + 1, at as u64);
     }
@@ -216,7 +221,8 @@
             live: 0,
             most,
             doubtful: false,
-            nameless: false,
+            nameless: true,
+            unsynced: None,
             found: Found::default(),
         };
         let Some(read) = read else {
@@ -229,9 +235,12 @@
         (store.generation, store.end) = (read.generation, read.end);
         store.found = Found { records: read.records, torn: len - read.end, generation: read.generation };
         read.entries.into_iter().for_each(|(key, value)| store.hold(key, value));
-        // What a process before this one wrote last may be in the system's memory alone; on a disk that can't
-        // be written now it is cut off or synced before anything is promised.
-        store.doubtful = len > read.end || store.disk.sync(LOG).is_err();
+        // What a process before this one wrote last, and the name under which it did, may be in the system's
+        // memory alone, also where a sync succeeds by now: after one that failed the system holds its pages for
+        // written. So both are written anew before anything is promised.
+        (store.doubtful, store.unsynced) = (len > read.end, read.last);
+        // Where that fails now, it is done before the next commit.
+        _ = store.settle();
         Ok(store)
     }
 
@@ -307,10 +316,13 @@
             self.disk.sync_names()?;
             self.nameless = false;
         }
-        if self.doubtful {
+        if self.doubtful || self.unsynced.is_some() {
             self.disk.truncate(LOG, self.end)?;
+            if let Some((at, record)) = &self.unsynced {
+                self.disk.write(LOG, *at, record)?;
+            }
             self.disk.sync(LOG)?;
-            self.doubtful = false;
+            (self.doubtful, self.unsynced) = (false, None);
         }
         Ok(())
     }
@@ -346,6 +358,7 @@
         // From here on the new log is the one that is written to, whichever name a cut now leaves: both hold
         // the same. Nothing is promised on it before its name is durable.
         (self.generation, self.end, self.doubtful, self.nameless) = (generation, at, false, true);
+        self.unsynced = None;
         self.settle()
     }
 
