A dial begins only with a permit, asked for again just before its first byte

Cause (read, then forced): a server that began to drain between a dial's decision and its first byte was known to the reducer, not to the dial; a connect up to 0.8 of the grace and a standstill of 0.15 s together went beyond the grace. Change: net/permit.rs is the one place that says whether a dial may begin (client there, decided lately, server not to be left); the line is written only with its Permit in hand; denials are counted by reason (denied_dials.* in the figures) and logged. A server's leaving reaches the tasks before anything is decided by it. Connections that stood before a start go to their own server as before.

--- a/lab/src/virt/mod.rs
+++ b/lab/src/virt/mod.rs
@@ -602,7 +602,7 @@
                 Effect::Keeping { .. } => {}
                 Effect::Forget { .. } | Effect::Kept { .. } | Effect::Tuned { .. } => {}
                 // A virtual relay is one process all its life, and nobody waits at its socket.
-                Effect::Accept { .. } | Effect::Door { .. } | Effect::Note { .. } => {}
+                Effect::Accept { .. } | Effect::Door { .. } | Effect::Note { .. } | Effect::Leave { .. } => {}
                 Effect::Tell { .. } | Effect::Part { .. } | Effect::PassOn { .. } | Effect::GiveUp { .. } => {
                 }
             }
--- a/relay/src/figures.rs
+++ b/relay/src/figures.rs
@@ -13,6 +13,9 @@
         counts.iter().for_each(|(name, value)| line(&format!("{name}.{listener}"), *value, 'c'));
     }
     line("upstream_tries", figures.tries, 'c');
+    let denials = figures.denials;
+    let denied = [("client", denials.client), ("late", denials.late), ("leaving", denials.leaving)];
+    denied.iter().for_each(|(why, value)| line(&format!("denied_dials.{why}"), *value, 'c'));
     line("loads", figures.loads, 'c');
     line("load_errors", figures.load_errors, 'c');
     line("in_progress", figures.in_progress as u64, 'g');
--- a/relay/src/net/admit.rs
+++ b/relay/src/net/admit.rs
@@ -42,9 +42,9 @@
             command = word(&client, &mut commands, hub) => command,
         };
         match command {
-            Some(Command::Dial { dial, addr, wait, by }) => {
+            Some(Command::Dial { dial, addr, wait, terms }) => {
                 let line = lines::onward(&asked.line, &asked.wait_at, wait / 1000);
-                let order = dial::Order { addr, line: &line, wait, by };
+                let order = dial::Order { addr, line: &line, wait, terms };
                 match out(order, &client, &mut buffer, &mut commands, hub).await {
                     Next::Client(stirred) | Next::Ended(dial::Ended::Client(stirred)) => {
                         return leave(stirred, conn, client, commands, hub).await;
--- a/relay/src/net/dial.rs
+++ b/relay/src/net/dial.rs
@@ -1,4 +1,5 @@
 //! One dial: connect, send the first line, wait for the backend's first word. Dropping it gives it up.
+use super::permit::{permit, Denied, Permit, Terms};
 use super::read::{self, State};
 use super::{end, Hub};
 use crate::buffer::Buffer;
@@ -22,8 +23,7 @@
     pub addr: SocketAddr,
     pub line: &'a [u8],
     pub wait: Micros,
-    /// Not begun later than this.
-    pub by: Micros,
+    pub terms: Terms,
 }
 
 pub enum Ended {
@@ -31,30 +31,35 @@
     /// Served to its end at once, with this line.
     Over((Vec<u8>, Option<Report>)),
     Not(DialEnd, Option<Report>),
-    /// Not begun: this machine could not, which is no fault of the backend's.
+    /// Not begun: this machine could not, or the backend is to be left; no fault of its own.
     NotBegun,
     /// Not begun: its client does not wait any more.
     Client(State),
 }
 
+fn denied(why: Denied) -> Ended {
+    match why {
+        Denied::Client(stirred) => Ended::Client(stirred),
+        Denied::Late => Ended::Not(DialEnd::Moot, None),
+        Denied::Leaving => Ended::NotBegun,
+    }
+}
+
+/// Writes a first line, for which it takes a permit that was made at this moment.
+async fn send(stream: &TcpStream, line: &[u8], wait: Micros, _permit: Permit) -> bool {
+    end::write(stream, line, wait).await
+}
+
 /// Whether the last byte of the line was written tells whether the dial may have run.
 pub async fn run(order: Order<'_>, client: &TcpStream, hub: &Hub) -> Ended {
-    let Order { addr, line, wait, by } = order;
+    let Order { addr, line, wait, terms } = order;
     let limits = hub.limits();
     let over = Instant::now() + span(wait);
     let never = Ended::Not(DialEnd::Unconnected, None);
-    // Guards a client that has left, as the system knows by now and its task does not: here, and as a
-    // connection comes up late.
-    if let stirred @ (State::More | State::Ended) = read::now(client) {
-        return Ended::Client(stirred);
+    if let Err(why) = permit(terms, client, hub) {
+        return denied(why);
     }
-    // Guards a drain's grace, and a server's name, against a standstill of this relay: what it decided long
-    // ago is not begun, and is no fault of the server's.
-    let moot = || hub.clock.now() > by;
-    if moot() {
-        return Ended::Not(DialEnd::Moot, None);
-    }
-    let stream = match socket::connect(addr, over.min(hub.clock.at(by))).await {
+    let stream = match socket::connect(addr, over.min(hub.clock.at(terms.by))).await {
         Ok(stream) => stream,
         Err(NotConnected::Local(why)) => {
             slog::warn!(hub.log, "this machine can't connect"; "error" => %why);
@@ -62,13 +67,11 @@
         }
         Err(NotConnected::Remote(_) | NotConnected::Late) => return never,
     };
-    if let stirred @ (State::More | State::Ended) = read::now(client) {
-        return Ended::Client(stirred);
-    }
-    if moot() {
-        return Ended::Not(DialEnd::Moot, None);
-    }
-    if !end::write(&stream, line, wait).await {
+    let permit = match permit(terms, client, hub) {
+        Ok(permit) => permit,
+        Err(why) => return denied(why),
+    };
+    if !send(&stream, line, wait, permit).await {
         return never;
     }
     hub.tell(Event::Written).await;
--- a/relay/src/net/mod.rs
+++ b/relay/src/net/mod.rs
@@ -13,6 +13,7 @@
 mod orders;
 mod pass;
 mod peers;
+pub mod permit;
 mod probe;
 mod read;
 pub mod serve;
@@ -21,13 +22,13 @@
 
 use crate::clock::Clock;
 use crate::reducer::Event;
-use hallrelay::types::{Micros, SessId};
+use hallrelay::types::{Micros, ServerId, SessId};
 use hallrelay_config::facts::ReportOrder;
 use hallrelay_config::limits::Limits;
 use hallrelay_handover::place::Peer;
 use hallrelay_handover::Session;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::mpsc;
@@ -41,8 +42,8 @@
         dial: u32,
         addr: SocketAddr,
         wait: Micros,
-        /// Not begun later than this: it was decided by what held then.
-        by: Micros,
+        /// It was decided by what held then.
+        terms: permit::Terms,
     },
     Pass,
     Answer(Vec<u8>),
@@ -64,6 +65,9 @@
     /// Where bytes go that nobody reads any more.
     waste: Rc<RefCell<Vec<u8>>>,
     last_id: Rc<Cell<SessId>>,
+    /// Servers to which nothing new may be sent, as the reducer knows them.
+    leaving: Rc<RefCell<BTreeSet<ServerId>>>,
+    denials: Rc<permit::Counted>,
     /// Ways to other processes of this relay.
     peers: Rc<RefCell<BTreeMap<Peer, mpsc::Sender<peers::Out>>>>,
     /// As the configuration in force has them.
@@ -82,6 +86,8 @@
             // Enough for what a peer sends at full speed between two reads.
             waste: Rc::new(RefCell::new(vec![0; 1 << 16])),
             last_id: Rc::new(Cell::new(0)),
+            leaving: Rc::default(),
+            denials: Rc::default(),
             peers: Rc::new(RefCell::new(BTreeMap::new())),
             tuned: Rc::new(RefCell::new((Rc::new(limits), order))),
             clock: Clock::anchored(),
--- a/relay/src/net/orders/mod.rs
+++ b/relay/src/net/orders/mod.rs
@@ -6,9 +6,10 @@
 mod probes;
 mod waiting;
 
+use super::permit::Terms;
 use super::{first_line, Command, Hub};
 use crate::reducer::Event;
-use hallrelay::types::{Micros, SessId};
+use hallrelay::types::{Micros, ServerId, SessId};
 use hallrelay_config::limits::Limits;
 use hallrelay_config::node::{self, Told};
 use socket2::{SockRef, Socket};
@@ -25,6 +26,8 @@
 const SOON: Duration = Duration::from_secs(10);
 /// A connect's time, where that does not matter.
 const LONG: Micros = 10_000_000;
+/// The server that dials here go to.
+const SERVER: ServerId = 7;
 const LINE: &str = "OPEN 0000000000000001 0000000000000002 c=nomination,d=2000\r\n";
 
 /// The reducer's end of the tasks.
@@ -206,7 +209,8 @@
 
     fn dials(&self, conn: SessId, dial: u32, at: &TcpListener, within: Micros) {
         let addr = at.local_addr().expect("its address");
-        self.says(conn, Command::Dial { dial, addr, wait: 1_500_000, by: self.hub.clock.now() + within });
+        let terms = Terms { server: Some(SERVER), by: self.hub.clock.now() + within };
+        self.says(conn, Command::Dial { dial, addr, wait: 1_500_000, terms });
     }
 }
 
--- a/relay/src/net/orders/waiting.rs
+++ b/relay/src/net/orders/waiting.rs
@@ -1,6 +1,6 @@
 //! A session that waits: its client, its dial and the reducer's word, in each order in which two of them can
 //! meet.
-use super::{bound, play, taken, untouched, Command, Lies, Peer, LINE, LONG};
+use super::{bound, play, taken, untouched, Command, Lies, Peer, LINE, LONG, SERVER};
 use crate::reducer::Event;
 use hallrelay::types::DialEnd;
 use std::time::Duration;
@@ -268,6 +268,27 @@
     });
 }
 
+/// A backend is to be left from a moment between the decision and the first byte: nothing is sent to it, though
+/// the connection is up.
+#[test]
+fn a_backend_that_drains_during_a_connect_gets_no_line() {
+    play(|mut play| async move {
+        let (backend, _client) = (bound().await, play.client_with(LINE).await);
+        let conn = play.opened().await;
+        play.hub.leaving.borrow_mut().insert(SERVER);
+        play.dials(conn, 0, &backend, LONG);
+        assert_eq!(play.event().await, Event::NotBegun { sess: conn, dial: 0 });
+        play.hub.leaving.borrow_mut().clear();
+        play.dials(conn, 0, &backend, LONG);
+        // The task begins to connect, and the drain is told before its next turn.
+        tokio::task::yield_now().await;
+        play.hub.leaving.borrow_mut().insert(SERVER);
+        assert_eq!(play.event().await, Event::NotBegun { sess: conn, dial: 0 });
+        untouched(&backend).await;
+        assert_eq!(play.hub.denials.now().leaving, 2);
+    });
+}
+
 /// What a backend said decides whether it has run: all of these dials were written whole.
 #[test]
 fn spoilt_answers_may_have_run() {
--- a/relay/src/net/serve.rs
+++ b/relay/src/net/serve.rs
@@ -1,4 +1,5 @@
 //! Runs the relay: events go to the reducer in order of arrival, its effects to the tasks.
+use super::permit::Terms;
 use super::{accept, discovery, fleet, handover, operator, peers, probe, stop, store, Command, Hub};
 use crate::clock::span;
 use crate::lines;
@@ -227,13 +228,20 @@
             match effect {
                 Effect::Pong { conn } => self.hub.command(conn, Command::Pong(lines::PONG)),
                 Effect::Deny { conn } => self.hub.command(conn, Command::Pong(lines::BUSY)),
-                Effect::Reply { call, reply } => {
+                Effect::Reply { call, mut reply } => {
+                    if let Reply::Figures(figures) = &mut reply {
+                        figures.denials = self.hub.denials.now();
+                    }
                     // Who asked may be gone by now.
                     _ = self.calls.remove(&call).map(|answer| answer.send(reply));
                 }
-                Effect::Dial { sess, dial, addr, wait, begin } => {
-                    let by = self.hub.clock.now() + begin;
-                    let command = Command::Dial { dial, addr, wait, by };
+                Effect::Leave { server, leaves: true } => _ = self.hub.leaving.borrow_mut().insert(server),
+                Effect::Leave { server, leaves: false } => {
+                    self.hub.leaving.borrow_mut().remove(&server);
+                }
+                Effect::Dial { sess, dial, server, addr, wait, begin } => {
+                    let terms = Terms { server, by: self.hub.clock.now() + begin };
+                    let command = Command::Dial { dial, addr, wait, terms };
                     let ticket = self.tickets.remove(&sess);
                     let unwritten = |t: &u64| self.keeper.as_ref().is_some_and(|keeper| !keeper.settled(*t));
                     match ticket.filter(unwritten) {
--- a/relay/src/reducer/events.rs
+++ b/relay/src/reducer/events.rs
@@ -206,9 +206,16 @@
         call: u32,
         reply: Reply,
     },
+    /// Nothing new may be sent to a server from now on, or it may be again.
+    Leave {
+        server: ServerId,
+        leaves: bool,
+    },
     Dial {
         sess: SessId,
         dial: u32,
+        /// None for a connection that stood at its server before this relay started.
+        server: Option<ServerId>,
         addr: SocketAddr,
         wait: Micros,
         /// The time in which its line must begin to go out.
--- a/relay/src/reducer/figures.rs
+++ b/relay/src/reducer/figures.rs
@@ -1,5 +1,6 @@
 //! What operators are told in numbers: counted where the state changes, read as a whole.
 use super::{FleetFigures, Reducer};
+use crate::net::permit::Denials;
 use hallrelay_store::writer::Health;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -25,6 +26,8 @@
     /// Configurations used and not used, after the first.
     pub loads: u64,
     pub load_errors: u64,
+    /// Dials that were not begun, since a rule did not hold any more as they were to begin.
+    pub denials: Denials,
     /// Of this moment: sessions, those without an answer, servers that the list names, those avoided.
     pub in_progress: usize,
     pub waiting: usize,
--- a/relay/src/reducer/mod.rs
+++ b/relay/src/reducer/mod.rs
@@ -34,7 +34,7 @@
 use hallrelay_handover::place::{self as handover, Peer, Place};
 use hallrelay_recovery::Stored;
 use hallrelay_store::writer::Health;
-use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
 use std::rc::Rc;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -122,6 +122,8 @@
     marks: HashSet<u64>,
     servers: BTreeMap<ServerId, Server>,
     ids: BTreeMap<String, ServerId>,
+    /// Servers that nothing new may be sent to, as the tasks were told.
+    leaving: BTreeSet<ServerId>,
     /// The version that was heard last; none from a discovery that has not told one yet.
     generation: Option<u64>,
     watch: Watch,
@@ -192,6 +194,7 @@
             marks: HashSet::new(),
             servers: BTreeMap::new(),
             ids: BTreeMap::new(),
+            leaving: BTreeSet::new(),
             generation: None,
             watch: Watch::default(),
             aside: VecDeque::new(),
@@ -313,7 +316,7 @@
                 if let Some(addr) = self.servers.get(&server).map(|v| v.told.addr) {
                     self.keep_turn(server, sess, out);
                     let begin = self.node.limits.connect.min(window.unwrap_or(Micros::MAX));
-                    return out.push(Effect::Dial { sess, dial, addr, wait, begin });
+                    return out.push(Effect::Dial { sess, dial, server: Some(server), addr, wait, begin });
                 }
                 let end = DialEnd::Unconnected;
                 self.tell(Input::DialEnded { sess, dial, end, settled: false, report: None }, out);
--- a/relay/src/reducer/servers.rs
+++ b/relay/src/reducer/servers.rs
@@ -3,6 +3,7 @@
 use hallrelay::types::{DialEnd, Entry, Input, ListKind, Micros, Phase, ServerId};
 use hallrelay_config::list::{Instance, List};
 use hallrelay_grants::judge::Tally;
+use std::collections::BTreeMap;
 
 impl Reducer {
     /// Guards sessions on a machine that vanished unsaid: each would find out by a message of its own.
@@ -37,12 +38,27 @@
             let there = held.map(|v| &v.told).filter(|told| told.phase == Phase::Ready);
             instances.extend(there.map(|told| Instance { phase: Phase::Draining, ..told.clone() }));
         }
-        let entries = instances.into_iter().map(|one| self.entry(one, kind)).collect();
+        let entries: Vec<Entry> = instances.into_iter().map(|one| self.entry(one, kind)).collect();
+        self.tell_leaving(kind, &entries, out);
         self.tell(Input::List { kind, entries }, out);
         self.forget(out);
         self.pong(out);
     }
 
+    /// Tells the tasks which servers are to be left from now on, before anything is decided by it.
+    fn tell_leaving(&mut self, kind: ListKind, entries: &[Entry], out: &mut Vec<Effect>) {
+        let mut named: BTreeMap<ServerId, bool> = BTreeMap::new();
+        if kind == ListKind::Full {
+            // Those that the list does not name have left.
+            named.extend(self.servers.iter().map(|(&server, v)| (server, v.told.phase != Phase::Ready)));
+        }
+        named.extend(entries.iter().map(|entry| (entry.server, !entry.ready())));
+        for (server, leaves) in named {
+            let changed = if leaves { self.leaving.insert(server) } else { self.leaving.remove(&server) };
+            out.extend(changed.then_some(Effect::Leave { server, leaves }));
+        }
+    }
+
     pub(super) fn entry(&mut self, one: Instance, kind: ListKind) -> Entry {
         let server = match self.ids.get(&one.id) {
             Some(&server) => server,
@@ -111,6 +127,9 @@
             }
             if let Some(v) = self.servers.remove(&server) {
                 self.ids.remove(&v.told.id);
+                if self.leaving.remove(&server) {
+                    out.push(Effect::Leave { server, leaves: false });
+                }
                 out.push(Effect::Forget { server });
             }
         }
--- a/relay/src/reducer/sessions.rs
+++ b/relay/src/reducer/sessions.rs
@@ -154,7 +154,7 @@
         };
         (s.stage, s.dials) = (Stage::Dial, s.dials + 1);
         let (dial, wait, begin) = (s.dials - 1, s.due - self.now, self.node.limits.connect);
-        out.push(Effect::Dial { sess, dial, addr, wait, begin });
+        out.push(Effect::Dial { sess, dial, server: None, addr, wait, begin });
     }
 
     /// The time of a session is up without an answer.
--- a/store/tests/kills.rs
+++ b/store/tests/kills.rs
@@ -23,7 +23,7 @@
         Ok(mut store) => {
             for number in 0..COMMITS {
                 _ = store.commit(fact(number));
-                if seed % 3 == 0 {
+                if seed.is_multiple_of(3) {
                     _ = store.compact();
                 }
             }
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -403,7 +403,7 @@
             Effect::Vow { number, .. } => format!("vow {number}"),
             Effect::Keeping { .. } => "alarm".to_string(),
             Effect::Fleet(effect) => format!("to the fleet {effect:?}"),
-            Effect::Note { .. } => "alarm".to_string(),
+            Effect::Note { .. } | Effect::Leave { .. } => "alarm".to_string(),
             Effect::GiveUp { why } => format!("give up: {why}"),
             Effect::Exit => "exit".to_string(),
         });
