--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -94,6 +94,13 @@
         }));
     }
 
+    /// Starts a process that is to take the running one's place, and returns the one that runs.
+    pub fn start_successor(&mut self) -> Option<Child> {
+        let before = self.child.take();
+        self.start();
+        before
+    }
+
     fn note(&self, change: impl FnOnce(&mut Life)) {
         if let Some(life) = self.life {
             self.ledger.write(|book| change(&mut book.lives[life]));
--- /dev/null
+++ b/soak/tests/replacement.rs
@@ -0,0 +1,60 @@
+//! A process that takes the place of the running one, after trouble of the machine.
+use hallrelay_soak::discovery::Discovery;
+use hallrelay_soak::faults::Fault;
+use hallrelay_soak::ledger::Ledger;
+use hallrelay_soak::process::Relay;
+use serde_json::{json, Value};
+use std::os::unix::net::UnixStream;
+use std::path::Path;
+use std::time::Duration;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_hallrelay-soak");
+const MOMENT: Duration = Duration::from_millis(300);
+/// By then a process that can't start has ended.
+const STARTED: Duration = Duration::from_secs(3);
+
+fn relay(name: &str) -> (Relay, std::path::PathBuf) {
+    let folder = std::env::temp_dir().join(format!("hallrelay-soak-{}-{name}", std::process::id()));
+    _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let ledger = Ledger::default();
+    let discovery = Discovery::start(1, &ledger);
+    let backend = hallrelay_soak::backend::Backend::start(0, ledger.clone());
+    discovery.list(0, backend.address, false, 0);
+    let text = include_str!("../../deploy/example/relay.json");
+    let mut text: Value = serde_json::from_str(text).expect("the example is JSON");
+    text["known"] = discovery.whole();
+    text["discovery"] = json!(discovery.addresses[0].to_string());
+    let mut relay = Relay::new(0, Path::new(PROGRAM), &folder, text, ledger);
+    relay.text["operator"] = json!(hallrelay_soak::free().to_string());
+    relay.start();
+    assert!(relay.until_ready(), "{}", relay.log().display());
+    (relay, folder)
+}
+
+#[test]
+fn a_process_is_replaced_after_accepts_failed_for_a_moment() {
+    let (mut relay, folder) = relay("door");
+    relay.control.set(Fault::Accept, 1_000);
+    // Somebody comes to the door just then.
+    let door = folder.join("relay-0/hallrelay-relay-0.sock");
+    let visitor = UnixStream::connect(&door).expect("the door is there");
+    std::thread::sleep(MOMENT);
+    relay.control.set(Fault::Accept, 0);
+    std::thread::sleep(MOMENT);
+    drop(visitor);
+    relay.text["operator"] = json!(hallrelay_soak::free().to_string());
+    let before = relay.start_successor();
+    std::thread::sleep(STARTED);
+    let runs = relay.runs();
+    let log = std::fs::read_to_string(relay.log()).unwrap_or_default();
+    let last: Vec<&str> = log.lines().rev().take(3).collect();
+    if let Some(mut before) = before {
+        _ = before.kill();
+        _ = before.wait();
+    }
+    assert!(runs, "the new process did not start: {last:?}");
+    assert!(relay.until_ready(), "it serves");
+    drop(relay);
+    _ = std::fs::remove_dir_all(folder);
+}
