A failed accept does not shut the door for the next process; its calls are made again where interrupted

Cause: handover::wait returned at the first accept that failed, and with it the Unix socket went; a message that was interrupted (EINTR) ended the talk of the two processes. Change: as for clients, a rest of 20 ms and on; calls are made again.

--- a/relay/src/net/accept.rs
+++ b/relay/src/net/accept.rs
@@ -1,10 +1,10 @@
 //! Takes connections from clients. The reducer sheds some where there are more than places.
 use super::{first_line, Hub};
-use crate::clock::span;
 use crate::reducer::Event;
 use std::io::ErrorKind;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Semaphore};
 
@@ -37,11 +37,12 @@
     }
 }
 
+/// After an accept that failed: long enough not to spin while descriptors are short, short against every dial
+/// timeout and the second in which an operator is owed an answer.
+pub const REST: Duration = Duration::from_millis(20);
+
 /// The next connection; one that can't be accepted is logged as what it is.
 pub async fn next(listener: &TcpListener, what: &str, hub: &Hub) -> TcpStream {
-    // Long enough not to spin while descriptors are short, short against every dial timeout and the second
-    // in which an operator is owed an answer.
-    const REST: u64 = 20_000;
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -56,7 +57,7 @@
             }
             Err(e) => {
                 slog::warn!(hub.log, "{} could not be accepted", what; "error" => %e);
-                tokio::time::sleep(span(REST)).await;
+                tokio::time::sleep(REST).await;
             }
         }
     }
--- a/relay/src/net/handover.rs
+++ b/relay/src/net/handover.rs
@@ -1,10 +1,11 @@
 //! The Unix socket over which a process gives its place to the next one: in `$TMPDIR`, open to its owner
 //! alone, a line of JSON a message, the listening socket beside the offer.
 use super::peers::{Out, Sockets};
-use super::{pass, Hub};
+use super::{accept, pass, Hub};
 use crate::clock::span;
 use crate::lines::plain;
 use crate::reducer::Event;
+use crate::socket::uninterrupted;
 use hallrelay_config::node::Node;
 use hallrelay_handover::message::{decode, encode, LONGEST, VERSION};
 use hallrelay_handover::place::{Event as Heard, Peer};
@@ -54,7 +55,7 @@
 
 /// Asks a running process for its place; none where there is no such process, or it says nothing.
 pub fn ask(path: &Path, node: &Node) -> Result<Option<Offer>, String> {
-    let talk = match Stream::connect(path) {
+    let talk = match uninterrupted(|| Stream::connect(path)) {
         Ok(talk) => talk,
         // Nobody listens there, or nobody ever did.
         Err(_) => return Ok(None),
@@ -93,7 +94,10 @@
     let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(SOCKETS))];
     let mut beside = RecvAncillaryBuffer::new(&mut space);
     let mut bytes = [0; 16_384];
-    let got = recvmsg(from, &mut [IoSliceMut::new(&mut bytes)], &mut beside, RecvFlags::CMSG_CLOEXEC)?;
+    let got = uninterrupted(|| {
+        let parts = &mut [IoSliceMut::new(&mut bytes)];
+        Ok(recvmsg(from, parts, &mut beside, RecvFlags::CMSG_CLOEXEC)?)
+    })?;
     for message in beside.drain() {
         if let RecvAncillaryMessage::ScmRights(sockets) = message {
             passed.extend(sockets);
@@ -108,7 +112,7 @@
     let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(SOCKETS))];
     let mut beside = SendAncillaryBuffer::new(&mut space);
     beside.push(SendAncillaryMessage::ScmRights(sockets));
-    Ok(sendmsg(to, &[IoSlice::new(line)], &mut beside, SendFlags::NOSIGNAL)?)
+    uninterrupted(|| Ok(sendmsg(to, &[IoSlice::new(line)], &mut beside, SendFlags::NOSIGNAL)?))
 }
 
 /// Says a line whole, within the time in which a process must listen.
@@ -119,7 +123,7 @@
             stream.writable().await?;
             let beside = if from == 0 { sockets } else { &[] };
             let wrote = stream.try_io(Interest::WRITABLE, || match beside {
-                [] => rustix::io::write(stream, &line[from..]).map_err(io::Error::from),
+                [] => uninterrupted(|| Ok(rustix::io::write(stream, &line[from..])?)),
                 _ => send(stream.as_fd(), line, beside),
             });
             match wrote {
@@ -146,7 +150,15 @@
     let mut last = BEFORE;
     loop {
         let Ok(permit) = room.clone().acquire_owned().await else { return };
-        let Ok((stream, _)) = door.accept().await else { return };
+        let stream = match door.accept().await {
+            Ok((stream, _)) => stream,
+            // For a moment: the door stays for whoever comes next.
+            Err(e) => {
+                slog::warn!(hub.log, "a process at the door was not let in"; "error" => %e);
+                tokio::time::sleep(accept::REST).await;
+                continue;
+            }
+        };
         // SAFETY: geteuid reads a number and can't fail.
         let own = unsafe { libc::geteuid() };
         if !stream.peer_cred().is_ok_and(|peer| peer.uid() == own) {
