--- a/soak/shim/faults.rs
+++ b/soak/shim/faults.rs
@@ -31,6 +31,8 @@
 const CLIENT_PORT: usize = 12;
 /// What was injected in all, counted here.
 const INJECTED: usize = 13;
+/// Milliseconds for which a sync stands still.
+const SLOW_SYNC: usize = 14;
 
 const EIO: c_int = 5;
 const EINTR: c_int = 4;
@@ -312,8 +314,18 @@
     fn lseek(fd: c_int, offset: i64, from: c_int) -> i64;
 }
 
+/// A disk that stands still.
+unsafe fn stand_still() {
+    let time = value(SLOW_SYNC);
+    if time > 0 {
+        let time = Timespec { seconds: time / 1000, nanoseconds: time % 1000 * 1_000_000 };
+        nanosleep(&time, std::ptr::null_mut());
+    }
+}
+
 #[no_mangle]
 pub unsafe extern "C" fn fsync(fd: c_int) -> c_int {
+    stand_still();
     if hits(SYNC).is_some() {
         return fails(EIO) as c_int;
     }
@@ -322,6 +334,7 @@
 
 #[no_mangle]
 pub unsafe extern "C" fn fdatasync(fd: c_int) -> c_int {
+    stand_still();
     if hits(SYNC).is_some() {
         return fails(EIO) as c_int;
     }
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -27,6 +27,8 @@
     FileWrite = 9,
     InterruptedWait = 10,
     Standstill = 11,
+    /// Milliseconds that a sync takes, not a chance.
+    SlowSync = 14,
 }
 
 const CLIENT_PORT: u64 = 12;
--- a/soak/src/trouble.rs
+++ b/soak/src/trouble.rs
@@ -133,6 +133,7 @@
         calls(Fault::InterruptedWait, 30),
         calls(Fault::Standstill, 30),
         calls(Fault::Sync, 1_000),
+        calls(Fault::SlowSync, 5_000),
         calls(Fault::FileWrite, 1_000),
         Kind::Stop { relay },
         Kind::StopUnderClients { relay },
