An ordered stop waits 40 ms at most for the store's last write

Cause: Keeper::finish dropped the writer, which joins its thread, which may be in a sync that does not return. Change: it closes on a thread of its own and is waited for 40 ms (a sync takes some ms). What was promised before is durable; what waits is owed by nobody yet.

--- a/relay/src/net/store.rs
+++ b/relay/src/net/store.rs
@@ -122,15 +122,27 @@
 
     /// Lets go of the store, with what waits written; not waited for.
     pub fn close(&mut self) {
-        self.closed.store(true, Ordering::Relaxed);
-        let writer = lock(&self.slot).close();
-        _ = std::thread::Builder::new().name("store-close".to_string()).spawn(move || drop(writer));
+        _ = self.begin_close();
     }
 
-    /// Writes at the end of the process, and waits for it.
+    /// Writes at the end of the process, and waits for it no longer than a slow sync takes: a disk that stands
+    /// still holds up no stop.
     pub fn finish(&mut self) {
+        const WRITTEN: Duration = Duration::from_millis(40);
+        _ = self.begin_close().recv_timeout(WRITTEN);
+    }
+
+    /// Closes on a thread of its own; the receiver hears as that is done.
+    fn begin_close(&mut self) -> std::sync::mpsc::Receiver<()> {
         self.closed.store(true, Ordering::Relaxed);
-        drop(lock(&self.slot).close());
+        let writer = lock(&self.slot).close();
+        let (tell, done) = std::sync::mpsc::channel();
+        let closes = move || {
+            drop(writer);
+            _ = tell.send(());
+        };
+        _ = std::thread::Builder::new().name("store-close".to_string()).spawn(closes);
+        done
     }
 
     /// Puts a fact; the number that `durable` reaches as it is written. None where that is not to be
