--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -24,6 +24,8 @@
     pub text: Value,
     /// Environment variables of its processes beside the library's: planted faults.
     pub environment: Vec<(String, String)>,
+    /// Where its processes' standard error goes; a file of the relay's folder if it is not set.
+    pub log: Option<PathBuf>,
     folder: PathBuf,
     program: PathBuf,
     child: Option<Child>,
@@ -48,6 +50,7 @@
             control,
             text,
             environment: Vec::new(),
+            log: None,
             folder,
             program: program.to_path_buf(),
             child: None,
@@ -57,7 +60,7 @@
     }
 
     pub fn log(&self) -> PathBuf {
-        self.folder.join("log")
+        self.log.clone().unwrap_or_else(|| self.folder.join("log"))
     }
 
     fn write_config(&self) -> PathBuf {
--- a/soak/tests/replacement.rs
+++ b/soak/tests/replacement.rs
@@ -4,6 +4,8 @@
 use hallrelay_soak::ledger::Ledger;
 use hallrelay_soak::process::Relay;
 use serde_json::{json, Value};
+use std::io::Read;
+use std::os::unix::fs::OpenOptionsExt;
 use std::os::unix::net::UnixStream;
 use std::path::Path;
 use std::time::Duration;
@@ -27,14 +29,36 @@
     text["discovery"] = json!(discovery.addresses[0].to_string());
     let mut relay = Relay::new(0, Path::new(PROGRAM), &folder, text, ledger);
     relay.text["operator"] = json!(hallrelay_soak::free().to_string());
+    (relay, folder)
+}
+
+fn started(name: &str) -> (Relay, std::path::PathBuf) {
+    let (mut relay, folder) = relay(name);
     relay.start();
     assert!(relay.until_ready(), "{}", relay.log().display());
     (relay, folder)
 }
 
+/// Every write to this device fails with ENOSPC.
+const FULL_DEVICE: &str = "/dev/full";
+
+#[test]
+fn a_log_that_can_not_be_written_ends_nothing() {
+    let (mut relay, folder) = relay("full-log");
+    relay.log = Some(FULL_DEVICE.into());
+    relay.start();
+    assert!(relay.until_ready(), "it is ready though its log is full");
+    for _ in 0..20 {
+        assert!(relay.until_ready() && relay.runs(), "it serves though its log is full");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    drop(relay);
+    _ = std::fs::remove_dir_all(folder);
+}
+
 #[test]
 fn a_process_is_replaced_after_accepts_failed_for_a_moment() {
-    let (mut relay, folder) = relay("door");
+    let (mut relay, folder) = started("door");
     relay.control.set(Fault::Accept, 1_000);
     // Somebody comes to the door just then.
     let door = folder.join("relay-0/hallrelay-relay-0.sock");
@@ -58,3 +82,34 @@
     drop(relay);
     _ = std::fs::remove_dir_all(folder);
 }
+
+/// A reader of a named pipe that does not wait for its writer.
+fn reader(pipe: &Path) -> std::fs::File {
+    let mut options = std::fs::OpenOptions::new();
+    options.read(true).custom_flags(libc::O_NONBLOCK).open(pipe).expect("the pipe is there")
+}
+
+#[test]
+fn a_log_goes_on_once_it_can_be_written_again() {
+    let (mut relay, folder) = relay("pipe-log");
+    let pipe = folder.join("pipe");
+    let made = std::process::Command::new("mkfifo").arg(&pipe).status().expect("mkfifo runs");
+    assert!(made.success());
+    let first = reader(&pipe);
+    relay.log = Some(pipe.clone());
+    relay.start();
+    assert!(relay.until_ready(), "it is ready");
+    // Writes fail with EPIPE for a while.
+    drop(first);
+    std::thread::sleep(MOMENT);
+    assert!(relay.until_ready() && relay.runs(), "it serves without its log");
+    std::thread::sleep(MOMENT);
+    let mut second = reader(&pipe);
+    assert!(relay.until_ready(), "it serves");
+    std::thread::sleep(MOMENT);
+    let mut bytes = [0; 4096];
+    let count = second.read(&mut bytes).unwrap_or(0);
+    assert!(count > 0, "nothing is logged any more");
+    drop(relay);
+    _ = std::fs::remove_dir_all(folder);
+}
