--- a/relay/src/net/orders/probes.rs
+++ b/relay/src/net/orders/probes.rs
@@ -41,6 +41,33 @@
     }
 }
 
+/// A backend, or what lies on the way, has forgotten a connection that idled: nothing comes back on it, not even a
+/// reset. It is asked anew on another one within the probe's time, and has not failed.
+#[test]
+fn a_connection_forgotten_as_it_idled_is_no_fault() {
+    play(|mut play| async move {
+        let backend = bound().await;
+        let addr = backend.local_addr().expect("its address");
+        let (ask, asked) = mpsc::channel(1);
+        tokio::task::spawn_local(probe::run(7, true, asked, play.hub.clone()));
+        ask.send(addr).await.expect("it serves");
+        let mut first = taken(&backend).await;
+        first.hears().await;
+        first.says("PONG x0=0.5\r\n").await;
+        assert!(matches!(play.event().await, Event::Probed { end: DialEnd::Ok, .. }));
+        ask.send(addr).await.expect("it serves");
+        // It says nothing on the first one any more.
+        let mut second = taken(&backend).await;
+        assert_eq!(second.hears().await, "STATS\r\n");
+        second.says("PONG x0=0.5\r\n").await;
+        assert!(matches!(play.event().await, Event::Probed { end: DialEnd::Ok, .. }));
+        // One that says nothing on a new connection either is silent.
+        ask.send(addr).await.expect("it serves");
+        let _third = taken(&backend).await;
+        assert!(matches!(play.event().await, Event::Probed { end: DialEnd::Timeout, .. }));
+    });
+}
+
 /// A connection that nobody asks on for long is closed.
 #[test]
 fn a_kept_connection_is_closed_in_the_end() {
