A probe that hears nothing on a kept connection asks on a new one within its time

Cause: a question on a connection that its backend had forgotten (no reset comes) took all of the probe's time, and one such probe makes a server rank as silent: after a quiet time all of them at once. Change: half of the time for the kept connection. Result: a_connection_forgotten_as_it_idled_is_no_fault passes (waited in vain before).

--- a/relay/src/net/probe.rs
+++ b/relay/src/net/probe.rs
@@ -29,15 +29,16 @@
         let Some(addr) = next else { return };
         let usable = kept.take().filter(|(at, stream, _)| *at == addr && idle(stream));
         let one = async {
-            // Guards a backend that closes what idles: one that ends its connection just as it is asked there
-            // has not failed. It is asked anew on a new one, within the same time.
+            // Guards a backend that closes or forgets what idles: one that ends its connection just as it is
+            // asked there, or says nothing on it, has not failed. It is asked anew on a new one, within the
+            // same time.
+            let limits = hub.limits();
             if let Some((_, stream, mut buffer)) = usable {
-                match ask(&stream, &mut buffer, &hub).await {
-                    Err((DialEnd::Reset, _)) => {}
-                    told => return told.map(|report| (report, (addr, stream, buffer))),
+                match timeout(span(limits.probe / 2), ask(&stream, &mut buffer, &hub)).await {
+                    Err(_) | Ok(Err((DialEnd::Reset, _))) => {}
+                    Ok(told) => return told.map(|report| (report, (addr, stream, buffer))),
                 }
             }
-            let limits = hub.limits();
             let (stream, mut buffer) =
                 (connect(addr, &hub).await?, Buffer::new(limits.buffer_first, limits.buffer_most));
             let report = ask(&stream, &mut buffer, &hub).await?;
