--- a/soak/shim/faults.rs
+++ b/soak/shim/faults.rs
@@ -33,6 +33,9 @@
 const INJECTED: usize = 13;
 /// Milliseconds for which a sync stands still.
 const SLOW_SYNC: usize = 14;
+/// Writes to clients that are told to have gone out and did not: no system does so. It plants a fault, for the
+/// proof that the harness finds one.
+const SWALLOWED: usize = 15;
 
 const EIO: c_int = 5;
 const EINTR: c_int = 4;
@@ -246,6 +249,12 @@
     if let Some(fault) = write_fault(fd) {
         return fault;
     }
+    if value(SWALLOWED) > 0
+        && tcp_port(fd).map(i64::from) == Some(value(CLIENT_PORT))
+        && hits(SWALLOWED).is_some()
+    {
+        return size as isize;
+    }
     next!(c"send", Send)(fd, from, shortened(fd, size), flags)
 }
 
--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -80,6 +80,24 @@
     }
 }
 
+/// Sends half a line, and waits for the end of the connection.
+pub fn stop_half_way(relay: usize, address: SocketAddr, ledger: &Ledger) {
+    /// Far beyond what it is owed.
+    const AT_MOST: Duration = Duration::from_secs(5);
+    let Ok(stream) = TcpStream::connect_timeout(&address, CONNECT) else { return };
+    let since = ledger.now();
+    let mut connection = Connection { stream, bytes: Vec::new() };
+    if connection.stream.write_all(b"OPEN 0123").is_err() {
+        return;
+    }
+    let ended = match connection.hear(Instant::now() + AT_MOST) {
+        // The error that it is owed, or the end.
+        Heard::Line(_) | Heard::End(_) => Some(ledger.now()),
+        Heard::Nothing => None,
+    };
+    ledger.write(|book| book.half_way.push((relay, since, ended)));
+}
+
 /// Plays one client to its end.
 pub fn run(plan: &Plan, ledger: &Ledger) {
     let Ok(stream) = TcpStream::connect_timeout(&plan.address, CONNECT) else { return };
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -29,6 +29,8 @@
     Standstill = 11,
     /// Milliseconds that a sync takes, not a chance.
     SlowSync = 14,
+    /// Planted, and never drawn: what is written to clients does not go out.
+    Swallowed = 15,
 }
 
 const CLIENT_PORT: u64 = 12;
--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -114,6 +114,10 @@
     pub dark: Vec<(At, At)>,
     /// When a relay's connections with clients broke by a fault of the machine.
     pub clients_broken: Vec<(usize, At, At)>,
+    /// Clients that stopped half way, by relay: since when, and when their connection ended.
+    pub half_way: Vec<(usize, At, Option<At>)>,
+    /// When a relay could accept nothing at all, by a fault of the machine.
+    pub unaccepting: Vec<(usize, At, At)>,
     /// When a relay was stopped by the system, and could do nothing.
     pub paused: Vec<(usize, At, At)>,
     /// First lines at backends whose session no client began.
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -3,7 +3,7 @@
 use clap::{Parser, Subcommand};
 use hallrelay_relay::cli as relay;
 use hallrelay_soak::plan::Plan;
-use hallrelay_soak::{oracle, run};
+use hallrelay_soak::{oracle, run, trouble};
 use std::collections::BTreeMap;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -36,6 +36,9 @@
     /// Relay processes.
     #[arg(long, default_value_t = 4)]
     relays: usize,
+    /// Troubles that overlap in one episode.
+    #[arg(long, default_value_t = trouble::TOGETHER)]
+    together: u64,
     /// Play only troubles that begin in this part of the timeline, in seconds.
     #[arg(long, default_value_t = 0.0)]
     from: f64,
@@ -70,7 +73,7 @@
     let program = std::env::current_exe().expect("the system tells where this program lies");
     let base = Plan::quiet(seed, Duration::from_secs(options.seconds), program);
     let base = Plan { relays: options.relays, per_second: 10.0 * options.relays as f64, ..base };
-    let mut troubles = hallrelay_soak::trouble::draw(seed, base.length, base.relays, base.backends);
+    let mut troubles = trouble::draw(seed, base.length, base.relays, base.backends, options.together);
     let mut number = 0;
     troubles.retain(|trouble| {
         number += 1;
--- a/soak/src/oracle.rs
+++ b/soak/src/oracle.rs
@@ -39,6 +39,8 @@
     ClientGone,
     /// More than a cold backend is allowed in one window.
     ColdBudget,
+    /// A client that stopped half way was not ended in time.
+    HalfWay,
     /// Told to stop, and still there as it is killed.
     SlowStop,
     Crash,
@@ -93,6 +95,7 @@
         sent_rightly(book, session, terms, &mut blame);
     }
     lives(book, &mut found);
+    half_way(book, &mut found);
     cold_budget(book, terms, &mut found);
     found.sort_by_key(|violation| violation.at);
     found
@@ -131,7 +134,14 @@
     let due = session.asked + session.wait;
     let paused =
         |pause: &(usize, At, At)| pause.0 == session.relay && pause.1 <= due + LATE && due <= pause.2 + SLACK;
-    killed || book.paused.iter().any(paused) || book.clients_broken.iter().any(broken)
+    // It lay in the accept queue till it was lost whatever comes.
+    let queued = |window: &(usize, At, At)| {
+        window.0 == session.relay && window.1 <= session.asked + SLACK && due + LATE <= window.2 + SLACK
+    };
+    killed
+        || book.paused.iter().any(paused)
+        || book.unaccepting.iter().any(queued)
+        || book.clients_broken.iter().any(broken)
 }
 
 fn answered(book: &Book, session: &Session, blame: &mut Blame<'_>) {
@@ -274,6 +284,19 @@
     }
 }
 
+/// Clients that stop in the middle of their line get their error, or the end, within 3 s.
+fn half_way(book: &Book, found: &mut Vec<Violation>) {
+    const OWED: Duration = Duration::from_secs(3);
+    for &(relay, since, ended) in &book.half_way {
+        let till = since + OWED + SLACK;
+        let paused = book.paused.iter().any(|pause| pause.0 == relay && pause.1 <= till && pause.2 >= since);
+        if !paused && ended.is_none_or(|at| at > till) {
+            let what = format!("relay {relay}: half a line, and no end; {ended:?}");
+            found.push(Violation { rule: Rule::HalfWay, at: since, what });
+        }
+    }
+}
+
 /// What a cold backend takes in a window of the settings' length, by the operators' bound.
 fn cold_budget(book: &Book, terms: &Terms, found: &mut Vec<Violation>) {
     for change in book.changes.iter().filter(|change| change.starts) {
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -25,7 +25,7 @@
     /// A run with a timeline drawn from its seed.
     pub fn drawn(seed: u64, length: Duration, program: PathBuf) -> Plan {
         let plan = Plan::quiet(seed, length, program);
-        Plan { troubles: trouble::draw(seed, length, plan.relays, plan.backends), ..plan }
+        Plan { troubles: trouble::draw(seed, length, plan.relays, plan.backends, trouble::TOGETHER), ..plan }
     }
 
     /// The same without any trouble.
--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -98,10 +98,17 @@
     }
 
     /// Starts a process that is to take the running one's place, and returns the one that runs.
-    pub fn start_successor(&mut self) -> Option<Child> {
-        let before = self.child.take();
+    pub fn start_successor(&mut self) -> Option<Predecessor> {
+        let (child, life) = (self.child.take()?, self.life?);
+        // Each process has an address of its own for operators.
+        self.text["operator"] = json!(crate::free().to_string());
         self.start();
-        before
+        Some(Predecessor { child, life, ledger: self.ledger.clone() })
+    }
+
+    /// Goes on with a process whose successor did not start.
+    pub fn keep(&mut self, before: Predecessor) {
+        (self.child, self.life) = (Some(before.child), Some(before.life));
     }
 
     fn note(&self, change: impl FnOnce(&mut Life)) {
@@ -187,6 +194,35 @@
     }
 }
 
+/// A process whose place another one takes.
+pub struct Predecessor {
+    child: Child,
+    life: usize,
+    ledger: Ledger,
+}
+
+impl Predecessor {
+    /// Tells it to stop, and kills it as its time is up.
+    pub fn stop(mut self, longest_wait: Duration) {
+        let now = self.ledger.now();
+        self.ledger.write(|book| book.lives[self.life].told_to_stop = Some(now));
+        // SAFETY: it is our own child, and is not reaped as long as this value holds it.
+        unsafe { libc::kill(self.child.id() as libc::pid_t, libc::SIGTERM) };
+        let by = Instant::now() + longest_wait + KILL_MARGIN;
+        let mut end = End::TooLate;
+        while Instant::now() < by && end == End::TooLate {
+            if self.child.try_wait().expect("our own child").is_some() {
+                end = End::Left;
+            }
+            std::thread::sleep(POLL);
+        }
+        _ = self.child.kill();
+        _ = self.child.wait();
+        let now = self.ledger.now();
+        self.ledger.write(|book| book.lives[self.life].ended = Some((now, end)));
+    }
+}
+
 impl Drop for Relay {
     fn drop(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -27,6 +27,8 @@
 /// After the last client: sessions end, and their ends are seen.
 const TAIL: Duration = Duration::from_secs(6);
 const STORM: u64 = 60;
+/// By then a new process has taken the place of the one before, or has ended.
+const TAKES_PLACE: Duration = Duration::from_secs(3);
 
 /// What a backend may hold, and what the settings say of slow start.
 pub const TERMS: Terms = Terms {
@@ -194,6 +196,7 @@
             .map(|number| {
                 let mut relay = Relay::new(number, &plan.program, &plan.folder, text.clone(), ledger.clone());
                 relay.text["discovery"] = json!(discovery.addresses[number].to_string());
+                relay.text["operator"] = json!(crate::free().to_string());
                 relay.text["seed"] = json!(format!("{:016x}", plan.seed * 1_000 + number as u64));
                 if plan.keeps_state {
                     let state = plan.folder.join(format!("state-{number}"));
@@ -278,12 +281,27 @@
         match trouble.kind {
             Kind::Calls { relay, fault, value } => {
                 let now = ledger.now();
+                const ALL: i64 = 1_000;
+                if fault == Fault::Accept && value == ALL {
+                    ledger.write(|book| book.unaccepting.push((relay, now, now + length)));
+                }
                 if fault == Fault::BrokenClient {
                     ledger.write(|book| book.clients_broken.push((relay, now, now + length)));
                 }
                 self.controls[relay].set(fault, value);
             }
             Kind::Stop { relay } => self.stop(relay, true),
+            Kind::StopBehindReload { relay } => {
+                _ = self.relays[relay].try_lock().map(|relay| relay.reload());
+                self.stop(relay, true);
+            }
+            Kind::Replace { relay } => self.replace(relay),
+            Kind::ClientsStopHalfWay => {
+                for (relay, &address) in self.listen.iter().enumerate() {
+                    let ledger = ledger.clone();
+                    self.threads.push(thread::spawn(move || client::stop_half_way(relay, address, &ledger)));
+                }
+            }
             Kind::StopUnderClients { relay } => self.stop(relay, false),
             Kind::Kill { relay } => {
                 let relay = self.relays[relay].clone();
@@ -324,7 +342,10 @@
     fn end(&mut self, trouble: &Trouble) {
         match trouble.kind {
             Kind::Calls { relay, fault, .. } => self.controls[relay].set(fault, 0),
-            Kind::Stop { relay } | Kind::StopUnderClients { relay } | Kind::Kill { relay } => {
+            Kind::Stop { relay }
+            | Kind::StopUnderClients { relay }
+            | Kind::StopBehindReload { relay }
+            | Kind::Kill { relay } => {
                 self.restarting.push(relay);
             }
             Kind::Backend { backend, .. } => self.backends[backend].behave(Behaviour::Serves),
@@ -332,7 +353,13 @@
             Kind::Discovery { .. } => self.discovery.set_mode(Mode::Serves),
             Kind::ClientsLeave => self.leaving -= 1,
             Kind::ClientsWriteSlowly => self.slow_writers -= 1,
-            Kind::Pause { .. } | Kind::Reload { .. } | Kind::ResetAll { .. } | Kind::Join | Kind::Storm => {}
+            Kind::Pause { .. }
+            | Kind::Reload { .. }
+            | Kind::Replace { .. }
+            | Kind::ResetAll { .. }
+            | Kind::ClientsStopHalfWay
+            | Kind::Join
+            | Kind::Storm => {}
         }
     }
 
@@ -366,6 +393,26 @@
         }));
     }
 
+    /// Another process takes a relay's place; the one before is told to stop as that is done.
+    fn replace(&mut self, relay: usize) {
+        let relay = self.relays[relay].clone();
+        let before = match relay.try_lock() {
+            Ok(mut relay) => relay.runs().then(|| relay.start_successor()).flatten(),
+            Err(_) => None,
+        };
+        let Some(before) = before else { return };
+        self.threads.push(thread::spawn(move || {
+            thread::sleep(TAKES_PLACE);
+            let mut relay = locked(&relay);
+            if relay.runs() && relay.until_ready() {
+                drop(relay);
+                before.stop(LONGEST_WAIT);
+            } else {
+                relay.keep(before);
+            }
+        }));
+    }
+
     /// Starts those relays again whose processes have ended.
     fn restart(&mut self) {
         let (relays, in_front, threads) = (&self.relays, &self.in_front, &mut self.threads);
--- a/soak/src/trouble.rs
+++ b/soak/src/trouble.rs
@@ -36,6 +36,14 @@
     Reload {
         relay: usize,
     },
+    /// The same, and to stop right behind it.
+    StopBehindReload {
+        relay: usize,
+    },
+    /// Another process takes the place of the running one.
+    Replace {
+        relay: usize,
+    },
     Backend {
         backend: usize,
         behaviour: Behaviour,
@@ -55,6 +63,8 @@
     },
     /// A half of the clients leave before they are answered.
     ClientsLeave,
+    /// Clients that stop in the middle of their first line, and stay.
+    ClientsStopHalfWay,
     /// First lines come in pieces.
     ClientsWriteSlowly,
     /// Clients that come back, many at once.
@@ -88,21 +98,22 @@
     }
 }
 
-/// Between the beginnings of two episodes, and how many troubles overlap in one.
+/// Between the beginnings of two episodes.
 const EPISODE: Duration = Duration::from_secs(6);
 const FIRST: Duration = Duration::from_secs(2);
-const TOGETHER: u64 = 3;
+/// How many troubles overlap in one episode, where nothing else is asked for.
+pub const TOGETHER: u64 = 3;
 /// Troubles of one episode begin within this time, and last so long.
 const SPREAD_MS: u64 = 1_200;
 const LENGTH_MS: (u64, u64) = (600, 2_600);
 
-/// Draws a timeline: episodes of three troubles that overlap, with quiet between them.
-pub fn draw(seed: u64, length: Duration, relays: usize, backends: usize) -> Vec<Trouble> {
+/// Draws a timeline: episodes of so many troubles that overlap, with quiet between them.
+pub fn draw(seed: u64, length: Duration, relays: usize, backends: usize, together: u64) -> Vec<Trouble> {
     let mut chance = Rand64::new(u128::from(seed) * 7_919 + 1);
     let mut timeline = Vec::new();
     let mut episode = FIRST;
     while episode + Duration::from_millis(SPREAD_MS + LENGTH_MS.1) < length {
-        for _ in 0..TOGETHER {
+        for _ in 0..together {
             let from = episode + Duration::from_millis(chance.rand_range(0..SPREAD_MS));
             let till = from + Duration::from_millis(chance.rand_range(LENGTH_MS.0..LENGTH_MS.1));
             timeline.push(Trouble { kind: one(&mut chance, relays, backends), from, till });
@@ -141,6 +152,10 @@
         Kind::Pause { relay, each: Duration::from_millis(150) },
         Kind::Pause { relay, each: Duration::from_millis(3_000) },
         Kind::Reload { relay },
+        Kind::StopBehindReload { relay },
+        Kind::Replace { relay },
+        Kind::Replace { relay },
+        Kind::ClientsStopHalfWay,
         behave(Behaviour::Hangs),
         behave(Behaviour::Resets),
         behave(Behaviour::Busy),
--- a/soak/tests/replacement.rs
+++ b/soak/tests/replacement.rs
@@ -67,16 +67,12 @@
     relay.control.set(Fault::Accept, 0);
     std::thread::sleep(MOMENT);
     drop(visitor);
-    relay.text["operator"] = json!(hallrelay_soak::free().to_string());
     let before = relay.start_successor();
     std::thread::sleep(STARTED);
     let runs = relay.runs();
     let log = std::fs::read_to_string(relay.log()).unwrap_or_default();
     let last: Vec<&str> = log.lines().rev().take(3).collect();
-    if let Some(mut before) = before {
-        _ = before.kill();
-        _ = before.wait();
-    }
+    before.into_iter().for_each(|before| before.stop(STARTED));
     assert!(runs, "the new process did not start: {last:?}");
     assert!(relay.until_ready(), "it serves");
     drop(relay);
--- a/soak/tests/single_faults.rs
+++ b/soak/tests/single_faults.rs
@@ -3,6 +3,7 @@
 use hallrelay_soak::backend::Behaviour;
 use hallrelay_soak::faults::Fault;
 use hallrelay_soak::ledger::End;
+use hallrelay_soak::oracle::Rule;
 use hallrelay_soak::plan::Plan;
 use hallrelay_soak::run::{play, Report};
 use hallrelay_soak::trouble::{Kind, Trouble};
@@ -125,3 +126,33 @@
     assert_eq!(first.1, End::Left, "it was still there as its time was up");
     breaks_nothing(&report);
 }
+
+/// The proof that the harness sees what goes wrong in a process: answers that do not go out are lost sessions.
+#[test]
+fn answers_that_are_swallowed_are_found_lost() {
+    let report = alone(1_012, vec![span(calls(Fault::Swallowed, 100), 500, 6_000)]);
+    let lost = report.violations.iter().filter(|violation| violation.rule == Rule::Lost).count();
+    assert!(report.injected > 5 && lost > 0, "{} swallowed, {lost} found lost", report.injected);
+}
+
+/// Timelines drawn from fixed seeds, as far as there is time for in each run of the tests.
+#[test]
+fn overlapping_troubles_break_nothing() {
+    let seeds = [1, 11, 20, 40];
+    let runs = seeds.map(|seed| std::thread::spawn(move || drawn(seed)));
+    let broken: Vec<String> = runs.into_iter().flat_map(|run| run.join().expect("it ends")).collect();
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
+/// What a drawn run breaks, with its timeline.
+fn drawn(seed: u64) -> Vec<String> {
+    let plan = Plan::drawn(seed, Duration::from_secs(12), PROGRAM.into());
+    let report = play(&plan);
+    let broken: Vec<String> = report.violations.iter().map(|one| format!("seed {seed}: {one}")).collect();
+    if broken.is_empty() {
+        _ = std::fs::remove_dir_all(&plan.folder);
+    } else {
+        plan.troubles.iter().for_each(|trouble| println!("seed {seed}: {trouble}"));
+    }
+    broken
+}
