--- a/relay/src/buffer.rs
+++ b/relay/src/buffer.rs
@@ -133,7 +133,7 @@
     }
 
     /// Keeps those lines from being passed on.
-    pub fn spurn_fresh(&mut self) {
+    pub fn reject_fresh(&mut self) {
         self.whole = self.fresh;
     }
 
--- a/relay/src/net/admit.rs
+++ b/relay/src/net/admit.rs
@@ -128,7 +128,7 @@
 
 async fn leave(stirred: State, conn: SessId, client: TcpStream, mut commands: Receiver<Command>, hub: &Hub) {
     if stirred == State::More {
-        return spurned(conn, client, commands, hub).await;
+        return rejected(conn, client, commands, hub).await;
     }
     // Whether it has gone, or merely ended its sending and reads on, its end alone does not tell: the answer
     // that it is owed is written, and nothing is sent on.
@@ -137,7 +137,7 @@
 }
 
 /// Tells of a connection that is not of the protocol, and carries its last line out.
-pub async fn spurned(conn: SessId, client: TcpStream, mut commands: Receiver<Command>, hub: &Hub) {
+pub async fn rejected(conn: SessId, client: TcpStream, mut commands: Receiver<Command>, hub: &Hub) {
     hub.tell(Event::Odd { conn }).await;
     last(client, &mut commands, hub).await;
 }
--- a/relay/src/net/end.rs
+++ b/relay/src/net/end.rs
@@ -54,7 +54,7 @@
     }
     let drain = async {
         while stream.readable().await.is_ok() {
-            match socket::try_read(&stream, &mut hub.waste.borrow_mut()) {
+            match socket::try_read(&stream, &mut hub.discarded.borrow_mut()) {
                 Ok(0) => return,
                 Err(e) if e.kind() != std::io::ErrorKind::WouldBlock => return,
                 _ => {}
--- a/relay/src/net/first_line.rs
+++ b/relay/src/net/first_line.rs
@@ -61,7 +61,7 @@
             Next::Ended => return,
             // Nothing of it ran; whoever is there still may come again.
             Next::Broke => return end::at_once(client, &lines::busy(0)),
-            Next::Odd => return admit::spurned(conn, client, commands, hub).await,
+            Next::Odd => return admit::rejected(conn, client, commands, hub).await,
             Next::Told(Some(Command::Shed)) => {
                 // Its line may lie there unread, in more than one read: then it is a session like others.
                 while matches!(buffer.read_now(&client), Ok(1..)) {}
@@ -99,7 +99,7 @@
             }
             _ => {
                 slog::debug!(hub.log, "a first line is odd"; "conn" => conn, "bytes" => line.len());
-                return admit::spurned(conn, client, commands, hub).await;
+                return admit::rejected(conn, client, commands, hub).await;
             }
         }
     }
--- a/relay/src/net/mod.rs
+++ b/relay/src/net/mod.rs
@@ -8,9 +8,9 @@
 mod first_line;
 mod fleet;
 mod handover;
-mod operator;
 #[cfg(test)]
-mod orders;
+mod interleaving_tests;
+mod operator;
 mod pass;
 mod peers;
 pub mod permit;
@@ -63,7 +63,7 @@
     events: mpsc::Sender<Event>,
     conns: Rc<RefCell<BTreeMap<SessId, mpsc::Sender<Command>>>>,
     /// Where bytes go that nobody reads any more.
-    waste: Rc<RefCell<Vec<u8>>>,
+    discarded: Rc<RefCell<Vec<u8>>>,
     last_id: Rc<Cell<SessId>>,
     /// Servers to which nothing new may be sent, as the reducer knows them.
     leaving: Rc<RefCell<BTreeSet<ServerId>>>,
@@ -84,7 +84,7 @@
             events,
             conns: Rc::new(RefCell::new(BTreeMap::new())),
             // Enough for what a peer sends at full speed between two reads.
-            waste: Rc::new(RefCell::new(vec![0; 1 << 16])),
+            discarded: Rc::new(RefCell::new(vec![0; 1 << 16])),
             last_id: Rc::new(Cell::new(0)),
             leaving: Rc::default(),
             denials: Rc::default(),
--- a/relay/src/net/pass.rs
+++ b/relay/src/net/pass.rs
@@ -28,7 +28,7 @@
 }
 
 /// What was heard on a session's lines.
-struct Ear<'a> {
+struct LineObserver<'a> {
     conn: SessId,
     hub: &'a Hub,
     /// When messages came from the client whose answers are awaited, the oldest first.
@@ -40,10 +40,10 @@
     last: Option<(DialEnd, Option<Report>)>,
 }
 
-impl<'a> Ear<'a> {
-    fn new(conn: SessId, hub: &'a Hub) -> Ear<'a> {
+impl<'a> LineObserver<'a> {
+    fn new(conn: SessId, hub: &'a Hub) -> LineObserver<'a> {
         let patience = hub.limits().silence;
-        Ear { conn, hub, unanswered: VecDeque::new(), doubt: None, patience, last: None }
+        LineObserver { conn, hub, unanswered: VecDeque::new(), doubt: None, patience, last: None }
     }
 
     /// False where a line is longer than lines may be.
@@ -104,15 +104,15 @@
     hub: &Hub,
 ) {
     let Backend { stream: backend, buffer: down, up: receipt } = backend;
-    let mut ear = Ear::new(conn, hub);
+    let mut observer = LineObserver::new(conn, hub);
     if !end::write(&client, &receipt, hub.limits().stuck).await {
         return end::abrupt(backend);
     }
     drop(receipt);
-    if !(ear.client_lines(up.lines()) && ear.backend_lines(down.lines()).await) {
+    if !(observer.client_lines(up.lines()) && observer.backend_lines(down.lines()).await) {
         return end::abrupt(backend);
     }
-    go_on(client, up, backend, down, commands, ear).await;
+    go_on(client, up, backend, down, commands, observer).await;
 }
 
 /// Goes on with a session that another process had, once the reducer has it.
@@ -126,13 +126,13 @@
     let Sockets { client, backend } = sockets;
     let (first, most) = (hub.limits().buffer_first, hub.limits().buffer_most);
     let (up, down) = (Buffer::holding(&session.up, first, most), Buffer::holding(&session.down, first, most));
-    let mut ear = Ear::new(conn, hub);
+    let mut observer = LineObserver::new(conn, hub);
     let now = hub.clock.now();
-    ear.unanswered = session.unanswered.iter().map(|ago| now.saturating_sub(*ago)).collect();
+    observer.unanswered = session.unanswered.iter().map(|ago| now.saturating_sub(*ago)).collect();
     hub.tell(Event::Inherited { sess: conn, session }).await;
     // Nothing else can have been told to it: it had no place before.
     if let Some(Command::Pass) = commands.recv().await {
-        go_on(client, up, backend, down, commands, ear).await;
+        go_on(client, up, backend, down, commands, observer).await;
     }
 }
 
@@ -142,17 +142,17 @@
     mut backend: TcpStream,
     mut down: Buffer,
     mut commands: Receiver<Command>,
-    mut ear: Ear<'_>,
+    mut observer: LineObserver<'_>,
 ) {
-    let (conn, hub) = (ear.conn, ear.hub);
+    let (conn, hub) = (observer.conn, observer.hub);
     loop {
-        match both(&client, &mut up, &backend, &mut down, &mut commands, &mut ear).await {
+        match both(&client, &mut up, &backend, &mut down, &mut commands, &mut observer).await {
             // One whose last word was heard ends here, at once.
-            Over::Passed(peer, session) if ear.last.is_none() => {
+            Over::Passed(peer, session) if observer.last.is_none() => {
                 let session = Box::new(Session {
                     up: up.rest().to_vec(),
                     down: down.rest().to_vec(),
-                    unanswered: ear.unanswered.iter().map(|then| hub.clock.now() - then).collect(),
+                    unanswered: observer.unanswered.iter().map(|then| hub.clock.now() - then).collect(),
                     ..*session
                 });
                 match peers::pass(peer, session, Sockets { client, backend }, hub).await {
@@ -205,16 +205,16 @@
     backend: &TcpStream,
     down: &mut Buffer,
     commands: &mut Receiver<Command>,
-    ear: &mut Ear<'_>,
+    observer: &mut LineObserver<'_>,
 ) -> Over {
-    let (limits, clock) = (ear.hub.limits(), ear.hub.clock);
+    let (limits, clock) = (observer.hub.limits(), observer.hub.clock);
     let most = limits.line + lines::END.len();
     // Since when the client has taken nothing of what waits for it.
     let mut held: Option<Micros> = None;
     loop {
         let (to_client, to_backend) = (!down.lines().is_empty(), !up.lines().is_empty());
         held = if to_client { held.or(Some(clock.now())) } else { None };
-        let (stuck_at, silent_at) = (held.map(|then| then + limits.stuck), ear.silent_at());
+        let (stuck_at, silent_at) = (held.map(|then| then + limits.stuck), observer.silent_at());
         // While the client takes nothing, its backend's silence is its own doing.
         let wake = stuck_at.or(silent_at);
         let wake_at = clock.at(wake.unwrap_or_default());
@@ -228,29 +228,29 @@
                 Some(Command::PassOn(peer, session)) => return Over::Passed(peer, session),
                 Some(Command::Doubt(doubted)) => {
                     // Where the backend answers no probes, a message gets no more time than a probe.
-                    ear.patience = if doubted { limits.probe } else { limits.silence };
+                    observer.patience = if doubted { limits.probe } else { limits.silence };
                 }
                 // Told to the connection before it was a session.
                 Some(Command::Pong(_) | Command::Shed) => {}
                 _ => return Over::Closed,
             },
             count = down.fill(backend), if down.has_room() => match count {
-                Ok(0) | Err(_) => return gone(ear),
-                Ok(_) if ear.backend_lines(down.fresh()).await && down.partial() <= most => {}
+                Ok(0) | Err(_) => return gone(observer),
+                Ok(_) if observer.backend_lines(down.fresh()).await && down.partial() <= most => {}
                 Ok(_) => {
-                    down.spurn_fresh();
+                    down.reject_fresh();
                     return Over::Backend(DialEnd::Reset, None);
                 }
             },
             count = up.fill(client), if up.has_room() => match count {
                 Ok(0) => return Over::ClientEnded,
-                Ok(_) if ear.client_lines(up.fresh()) && up.partial() <= most => {}
+                Ok(_) if observer.client_lines(up.fresh()) && up.partial() <= most => {}
                 // A line too long ends the session as a break does.
                 _ => return Over::ClientBroke,
             },
             ready = backend.writable(), if to_backend => {
                 if ready.is_err() || goes(up, backend).is_err() {
-                    return gone(ear);
+                    return gone(observer);
                 }
             }
             ready = client.writable(), if to_client => {
@@ -264,7 +264,7 @@
                 if held.is_some() {
                     return Over::ClientBroke;
                 }
-                if ear.is_silent() {
+                if observer.is_silent() {
                     return Over::Backend(DialEnd::Reset, None);
                 }
             }
@@ -273,8 +273,8 @@
 }
 
 /// The backend's connection is over: with its last word, or without one.
-fn gone(ear: &mut Ear) -> Over {
-    let (end, report) = ear.last.take().unwrap_or((DialEnd::Reset, None));
+fn gone(observer: &mut LineObserver) -> Over {
+    let (end, report) = observer.last.take().unwrap_or((DialEnd::Reset, None));
     Over::Backend(end, report)
 }
 
