--- a/soak/tests/single_faults.rs
+++ b/soak/tests/single_faults.rs
@@ -156,3 +156,16 @@
     }
     broken
 }
+
+#[test]
+fn drains_are_heard_in_time_where_reads_and_writes_are_short() {
+    let drain = |backend, from| span(Kind::Drain { backend }, from, from + 1_500);
+    let troubles = vec![
+        span(calls(Fault::ShortIo, 400), 500, 7_500),
+        drain(0, 1_000),
+        drain(1, 2_700),
+        drain(2, 4_300),
+        drain(3, 5_900),
+    ];
+    breaks_nothing(&alone(1_013, troubles));
+}
