Short reads and writes of the list's watch, operators' calls and relays' streams go on at once

Cause: the runtime's own stream takes a read shorter than its buffer for the last one and waits for the system's next word, which comes only with the next bytes (edge-triggered): what lay there of a list was heard with the watch's next empty line, up to 2 s later. Change: Steady reads and writes till nothing goes (socket.rs); used by discovery, operators and the streams between relays, which also go on where interrupted now.

--- a/relay/src/net/fleet.rs
+++ b/relay/src/net/fleet.rs
@@ -4,6 +4,7 @@
 use super::{accept, Hub};
 use crate::clock::span;
 use crate::reducer::Event;
+use crate::socket::Steady;
 use hallrelay_config::fleet::Fleet;
 use hallrelay_fleet::membership::Event as Heard;
 use hallrelay_fleet::message::{decode, Fault, Packet, DATAGRAM, FRAME};
@@ -199,8 +200,9 @@
     }
 }
 
-async fn visited(id: u64, mut stream: TcpStream, name: &str, answers: &Answers, hub: &Hub) {
+async fn visited(id: u64, stream: TcpStream, name: &str, answers: &Answers, hub: &Hub) {
     let Ok(from) = stream.peer_addr() else { return };
+    let mut stream = Steady(stream);
     let packet = match read_frame(&mut stream).await.map(|frame| decode(name, &frame, FRAME)) {
         Ok(Ok(packet)) => Box::new(packet),
         Ok(Err(what)) => return dropped(hub, what, 1).await,
@@ -221,7 +223,7 @@
     if !own.is_unspecified() && own.is_ipv4() == to.is_ipv4() {
         socket.bind(SocketAddr::new(own, 0))?;
     }
-    let mut stream = socket.connect(to).await?;
+    let mut stream = Steady(socket.connect(to).await?);
     write_frame(&mut stream, bytes).await?;
     let frame = read_frame(&mut stream).await?;
     Ok(decode(&fleet.name, &frame, FRAME).map(Box::new))
@@ -231,7 +233,7 @@
     LengthDelimitedCodec::builder().max_frame_length(FRAME).new_codec()
 }
 
-fn write_frame(stream: &mut TcpStream, bytes: Vec<u8>) -> impl Future<Output = io::Result<()>> + '_ {
+fn write_frame(stream: &mut Steady, bytes: Vec<u8>) -> impl Future<Output = io::Result<()>> + '_ {
     let mut framed = BytesMut::new();
     let coded = codec().encode(Bytes::from(bytes), &mut framed);
     async move {
@@ -240,7 +242,7 @@
     }
 }
 
-async fn read_frame(stream: &mut TcpStream) -> io::Result<BytesMut> {
+async fn read_frame(stream: &mut Steady) -> io::Result<BytesMut> {
     let (mut codec, mut buffer) = (codec(), BytesMut::new());
     loop {
         if let Some(frame) = codec.decode(&mut buffer)? {
--- a/relay/src/socket.rs
+++ b/relay/src/socket.rs
@@ -3,7 +3,7 @@
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -104,26 +104,36 @@
     }
 }
 
-/// A connection whose interrupted calls are made again, for code that takes an interruption for its end.
+/// A connection for code that takes an interruption for its end. A short read or write is followed by the next
+/// one at once: the runtime's own streams take it for the last that there is, and wait for the system to say
+/// more, which it does only as more comes.
 pub struct Steady(pub TcpStream);
 
 impl AsyncRead for Steady {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         to: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        uninterrupted_poll(|| Pin::new(&mut self.0).poll_read(context, to))
+        loop {
+            ready!(self.0.poll_read_ready(context))?;
+            match try_read(&self.0, to.initialize_unfilled()) {
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                read => return Poll::Ready(read.map(|count| to.advance(count))),
+            }
+        }
     }
 }
 
 impl AsyncWrite for Steady {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        uninterrupted_poll(|| Pin::new(&mut self.0).poll_write(context, bytes))
+    fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.0.poll_write_ready(context))?;
+            match try_write(&self.0, bytes) {
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                wrote => return Poll::Ready(wrote),
+            }
+        }
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -134,12 +144,3 @@
         Pin::new(&mut self.0).poll_shutdown(context)
     }
 }
-
-fn uninterrupted_poll<T>(mut poll: impl FnMut() -> Poll<io::Result<T>>) -> Poll<io::Result<T>> {
-    loop {
-        match poll() {
-            Poll::Ready(Err(e)) if e.kind() == ErrorKind::Interrupted => {}
-            done => return done,
-        }
-    }
-}
--- a/soak/tests/single_faults.rs
+++ b/soak/tests/single_faults.rs
@@ -1,6 +1,7 @@
 //! One trouble at a time, against one relay process: each of them was found by the soak, or is a rule's plainest
 //! test.
 use hallrelay_soak::backend::Behaviour;
+use hallrelay_soak::discovery::Mode;
 use hallrelay_soak::faults::Fault;
 use hallrelay_soak::ledger::End;
 use hallrelay_soak::oracle::Rule;
@@ -169,3 +170,14 @@
     ];
     breaks_nothing(&alone(1_013, troubles));
 }
+
+/// Two processes of one relay: the new one can't reach the list, and the old one's watch tells of a drain.
+#[test]
+fn a_drain_that_only_the_replaced_process_hears_holds_for_both() {
+    let troubles = vec![
+        span(Kind::Discovery { mode: Mode::Turns }, 900, 4_500),
+        span(Kind::Replace { relay: 0 }, 1_000, 2_000),
+        span(Kind::Drain { backend: 0 }, 2_000, 6_000),
+    ];
+    breaks_nothing(&alone(1_014, troubles));
+}
