A replaced process tells the new one what its watch hears; the two are one relay

Cause: both processes of a replacement have a watch of their own; where only the old one's speaks (503 or a machine that can't connect, for the new one), the new one went on sending to a backend of whose drain the relay had been told. Change: the old process passes on what it hears (Message::Listed, version 2 of the handover: a process of another version starts only after a stop). The new one takes it like its own word till discovery has spoken to it, then only what shuts servers and is newer.

--- a/handover/src/message.rs
+++ b/handover/src/message.rs
@@ -3,7 +3,7 @@
 use serde_json::Value;
 
 /// Counted up with each change that the other side would misread.
-pub const VERSION: u32 = 1;
+pub const VERSION: u32 = 2;
 /// Some ten thousand servers and open marks.
 pub const LONGEST: usize = 4 << 20;
 const NAME: usize = 256;
@@ -28,6 +28,9 @@
     Session(Box<Session>),
     /// What the old process holds still: connections of clients, and sessions among them.
     Holds { connections: u32, sessions: u32 },
+    /// What the old process' watch heard since it gave its place, in discovery's form: the two are one relay, and
+    /// what one was told the other knows.
+    Listed { list: Value },
 }
 
 /// What the old process knows and the new one goes on with. Times are ago, in microseconds.
--- a/handover/src/place.rs
+++ b/handover/src/place.rs
@@ -1,5 +1,6 @@
 //! The states of a process towards the one before it and the one after it.
 use crate::message::{Message, State, VERSION};
+use serde_json::Value;
 
 pub type Peer = u32;
 
@@ -26,6 +27,10 @@
         connections: u32,
         sessions: u32,
     },
+    /// Discovery told this process something; the one after is to know it.
+    Listed {
+        list: Value,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -58,6 +63,8 @@
         connections: u32,
         sessions: u32,
     },
+    /// Discovery told the process before this one something.
+    Listed(Value),
     Note(String),
 }
 
@@ -144,6 +151,9 @@
             {
                 out.push(Act::Shares { connections, sessions });
             }
+            Event::Said { peer, message: Message::Listed { list } } if self.before == Before::Lives(peer) => {
+                out.push(Act::Listed(list));
+            }
             Event::Said { peer, message } => {
                 out.push(Act::Note(format!("a message out of turn: {:.60}", format!("{message:?}"))));
                 self.refuse(peer, "out of turn", out);
@@ -160,6 +170,11 @@
                     out.push(Act::Tell { peer, message: Message::Holds { connections, sessions } });
                 }
             }
+            Event::Listed { list } => {
+                if let Some(peer) = self.after() {
+                    out.push(Act::Tell { peer, message: Message::Listed { list } });
+                }
+            }
             Event::Due { .. } => {}
         }
     }
--- a/handover/tests/place.rs
+++ b/handover/tests/place.rs
@@ -13,6 +13,7 @@
         "yours" => Message::Yours(Box::new(State { connections: 3, ..State::default() })),
         "no" => Message::No { why: "why".into() },
         "holds" => Message::Holds { connections: 2, sessions: 1 },
+        "listed" => Message::Listed { list: serde_json::json!({"generation": 2}) },
         other => panic!("unknown message {other}"),
     }
 }
@@ -24,6 +25,7 @@
         Act::Tell { peer, message: Message::Holds { connections, sessions } } => {
             format!("holds to {peer}: {connections} {sessions}")
         }
+        Act::Tell { peer, message: Message::Listed { .. } } => format!("listed to {peer}"),
         Act::Tell { peer, message } => format!("{message:?} to {peer}"),
         Act::Part { peer } => format!("part from {peer}"),
         Act::Wait { peer } => format!("wait for {peer}"),
@@ -33,6 +35,7 @@
         Act::Take(None) => "take alone".into(),
         Act::GiveUp(why) => format!("give up: {why}"),
         Act::Shares { connections, sessions } => format!("shares {connections} {sessions}"),
+        Act::Listed(list) => format!("listed {list}"),
         Act::Note(_) => "note".into(),
     }
 }
@@ -52,6 +55,7 @@
         let event = match words[0] {
             "left" => Event::Left { peer },
             "due" => Event::Due { peer },
+            "hears" => Event::Listed { list: serde_json::json!({"generation": 2}) },
             "here" => Event::Holds { connections: 5, sessions: 4 },
             word => Event::Said { peer, message: message(word) },
         };
@@ -163,7 +167,7 @@
 
 #[test]
 fn messages_come_back_as_they_went() {
-    for word in ["hello", "ready", "yours", "no", "holds"] {
+    for word in ["hello", "ready", "yours", "no", "holds", "listed"] {
         let line = encode(&message(word)).expect("it is short");
         assert_eq!(decode(line.trim_ascii_end()), Ok(message(word)));
     }
@@ -202,3 +206,27 @@
     let huge = Message::No { why: "x".repeat(LONGEST) };
     assert!(encode(&huge).is_err());
 }
+
+#[test]
+fn what_discovery_tells_the_old_process_goes_to_the_new_one_and_to_nobody_else() {
+    play(None, "hears");
+    play(
+        None,
+        "hello 1
+        => offer to 1
+        => wait for 1
+        hears
+        ready 1
+        => yield to 1
+        hears
+        => listed to 1",
+    );
+    play(
+        Some(0),
+        "yours 0
+        => take all
+        => shares 3 0
+        listed 0
+        => listed {\"generation\":2}",
+    );
+}
--- a/relay/src/reducer/place.rs
+++ b/relay/src/reducer/place.rs
@@ -50,6 +50,7 @@
                         self.their_marks.clear();
                     }
                 }
+                Act::Listed(list) => self.heard_from_before(&list, out),
                 Act::Note(what) => note(what, out),
             }
         }
@@ -194,6 +195,29 @@
         out.push(Effect::Door { open: true });
     }
 
+    /// What discovery told this process the one after it knows too: its own watch may not speak.
+    pub(super) fn tell_successor(&mut self, list: &List, out: &mut Vec<Effect>) {
+        if self.place.after().is_some() {
+            let list = list::encode(list.generation, list.whole, list.instances.iter());
+            self.placed(Heard::Listed { list }, out);
+        }
+    }
+
+    /// What discovery told the process before this one. Till discovery has spoken to this one it holds like its
+    /// own word; then only what shuts servers does, as far as it is newer.
+    fn heard_from_before(&mut self, told: &serde_json::Value, out: &mut Vec<Effect>) {
+        let Ok(mut list) = list::parse(told.to_string().as_bytes()) else { return };
+        if self.generation.is_some_and(|own| own >= list.generation) {
+            return;
+        }
+        if self.spoken.is_some() {
+            list.instances.retain(|one| one.phase != Phase::Ready);
+            list.whole = false;
+        }
+        self.tell_successor(&list, out);
+        self.list(list, out);
+    }
+
     /// Tells the process after this one what is still held here, as it falls.
     pub(super) fn holding(&mut self, out: &mut Vec<Effect>) {
         // Often enough for places to pass on before clients come again for them.
--- a/relay/src/reducer/watch.rs
+++ b/relay/src/reducer/watch.rs
@@ -32,6 +32,7 @@
         self.spoken_before = self.spoken.replace(self.now);
         self.remember_gone(&list);
         self.keep_list(&list, out);
+        self.tell_successor(&list, out);
         self.list(list, out);
     }
 
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -186,6 +186,17 @@
                             ..State::default()
                         }))
                     }
+                    "listed" => {
+                        let instances = words[4..].iter().map(|word| {
+                            let (id, phase) = word.split_once(':').unwrap_or((word, "up"));
+                            json!({"instanceId": id, "hostPort": addr(id), "lifecycle": phase})
+                        });
+                        let instances: Vec<Value> = instances.collect();
+                        let generation = num::<u64>(at(3)?)?;
+                        Message::Listed {
+                            list: json!({"generation": generation, "reset": false, "instances": instances}),
+                        }
+                    }
                     other => return Err(format!("unknown message '{other}'")),
                 };
                 Event::Place(Place::Said { peer, message })
@@ -393,6 +404,7 @@
                     )
                 }
                 Message::Holds { connections, sessions } => format!("tell {peer} {connections} {sessions}"),
+                Message::Listed { list } => format!("tell {peer} the list of version {}", list["generation"]),
                 Message::Session(_) | Message::Hello { .. } => format!("tell {peer} what is not asked for"),
                 Message::Offer { .. } => format!("tell {peer} offer"),
                 Message::Ready {} => format!("tell {peer} ready"),
