--- a/soak/tests/replacement.rs
+++ b/soak/tests/replacement.rs
@@ -109,3 +109,15 @@
     drop(relay);
     _ = std::fs::remove_dir_all(folder);
 }
+
+#[test]
+fn a_start_outlasts_a_moment_without_sockets() {
+    let (mut relay, folder) = relay("no-sockets");
+    relay.control.set(Fault::Socket, 1_000);
+    relay.start();
+    std::thread::sleep(MOMENT);
+    relay.control.set(Fault::Socket, 0);
+    assert!(relay.until_ready(), "it is ready in time");
+    drop(relay);
+    _ = std::fs::remove_dir_all(folder);
+}
