A start waits up to 5 s for its sockets where the machine has none to give

Cause: the listening sockets were opened once; ENFILE or ENOBUFS in that moment ended the process, a failed start. Change: tried again each 20 ms for 5 s of the 10 s in which a start is owed (socket.rs, once_there_is_room), for clients, operators and the fleet. A wrong or taken address fails at once, as before.

--- a/relay/src/net/fleet.rs
+++ b/relay/src/net/fleet.rs
@@ -4,7 +4,7 @@
 use super::{accept, Hub};
 use crate::clock::span;
 use crate::reducer::Event;
-use crate::socket::Steady;
+use crate::socket::{self, Steady};
 use hallrelay_config::fleet::Fleet;
 use hallrelay_fleet::membership::Event as Heard;
 use hallrelay_fleet::message::{decode, Fault, Packet, DATAGRAM, FRAME};
@@ -37,8 +37,8 @@
 
 pub async fn bind(at: SocketAddr) -> io::Result<Bound> {
     let named = |e: io::Error| io::Error::new(e.kind(), format!("fleet.listen {at}: {e}"));
-    let datagrams = UdpSocket::bind(at).await.map_err(named)?;
-    let streams = super::serve::listen(at, BACKLOG).map_err(named)?;
+    let datagrams = socket::once_there_is_room(|| UdpSocket::bind(at)).await.map_err(named)?;
+    let streams = super::serve::listen(at, BACKLOG).await.map_err(named)?;
     Ok(Bound { datagrams, streams })
 }
 
--- a/relay/src/net/serve.rs
+++ b/relay/src/net/serve.rs
@@ -4,6 +4,7 @@
 use crate::clock::span;
 use crate::lines;
 use crate::reducer::{Alarm, Call, Effect, Event, Reducer, Reply};
+use crate::socket;
 use hallrelay::types::{Micros, ServerId, SessId};
 use hallrelay_config::node::Node;
 use hallrelay_fleet::Effect as Told;
@@ -67,14 +68,14 @@
     let offer = offer.map_err(std::io::Error::other)?;
     let (before, listener) = match offer {
         Some(offer) => (Some(offer.talk), from_std(offer.listener)?),
-        None => (None, listen(node.listen, BACKLOG)?),
+        None => (None, listen(node.listen, BACKLOG).await?),
     };
     let listener = Rc::new(listener);
     let (to_calls, mut calls) = mpsc::channel(limits.callers);
     if let Some(place) = node.operator {
         // Guards a caller that comes behind a crowd: where the queue is full its first packet is dropped, and
         // the next one comes a second later.
-        let listener = listen(place, BACKLOG)?;
+        let listener = listen(place, BACKLOG).await?;
         tokio::task::spawn_local(operator::run(listener, to_calls, hub.clone()));
     }
     let links = match &node.fleet {
@@ -171,12 +172,17 @@
     TcpListener::from_std(listener)
 }
 
-pub(super) fn listen(place: SocketAddr, backlog: u32) -> std::io::Result<TcpListener> {
+/// Listens at a place.
+pub(super) async fn listen(place: SocketAddr, backlog: u32) -> std::io::Result<TcpListener> {
     let named = |e: std::io::Error| std::io::Error::new(e.kind(), format!("{place}: {e}"));
+    socket::once_there_is_room(|| async { listen_now(place, backlog) }).await.map_err(named)
+}
+
+fn listen_now(place: SocketAddr, backlog: u32) -> std::io::Result<TcpListener> {
     let socket = if place.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.set_reuseaddr(true)?;
-    socket.bind(place).map_err(named)?;
-    socket.listen(backlog).map_err(named)
+    socket.bind(place)?;
+    socket.listen(backlog)
 }
 
 impl Hands {
--- a/relay/src/socket.rs
+++ b/relay/src/socket.rs
@@ -1,5 +1,6 @@
 //! Socket calls as Linux documents them: interrupted ones are made again, and failures to connect are told
 //! apart by whether they lie at this machine or at the other one.
+use std::future::Future;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -60,6 +61,29 @@
     }
 }
 
+/// Opens a socket at a start, for which the machine may have no room at the moment: tried again for 5 s, of the
+/// 10 s in which a start is owed.
+///
+/// # Errors
+/// Any other one, at once; the last one as the time is over.
+pub async fn once_there_is_room<T, F>(mut open: impl FnMut() -> F) -> io::Result<T>
+where
+    F: Future<Output = io::Result<T>>,
+{
+    const PATIENCE: Duration = Duration::from_secs(5);
+    const REST: Duration = Duration::from_millis(20);
+    const NO_ROOM: [i32; 4] = [libc::EMFILE, libc::ENFILE, libc::ENOBUFS, libc::ENOMEM];
+    let by = Instant::now() + PATIENCE;
+    loop {
+        match open().await {
+            Err(e) if e.raw_os_error().is_some_and(|n| NO_ROOM.contains(&n)) && Instant::now() < by => {
+                sleep(REST).await;
+            }
+            done => return done,
+        }
+    }
+}
+
 /// Whether a failure to connect lies at this machine.
 fn is_local(error: &io::Error) -> bool {
     const LOCAL: [i32; 9] = [
