A way that is missing to one server alone is that server's trouble again

Cause: the mend of local failures took ENETUNREACH and EADDRNOTAVAIL for this machine's trouble also where other servers were reached meanwhile; such a server never ranked as silent, and each session that chose it waited for its connect's limit. Change: where another connection came up since the try began, the error is the server's, at once (Hub::connect).

--- a/relay/src/net/dial.rs
+++ b/relay/src/net/dial.rs
@@ -6,7 +6,7 @@
 use crate::clock::span;
 use crate::lines::{self, Said};
 use crate::reducer::Event;
-use crate::socket::{self, NotConnected};
+use crate::socket::NotConnected;
 use hallrelay::types::{DialEnd, Micros, Report};
 use std::net::SocketAddr;
 use tokio::net::TcpStream;
@@ -59,7 +59,7 @@
     if let Err(why) = permit(terms, client, hub) {
         return denied(why);
     }
-    let stream = match socket::connect(addr, over.min(hub.clock.at(terms.by))).await {
+    let stream = match hub.connect(addr, over.min(hub.clock.at(terms.by))).await {
         Ok(stream) => stream,
         Err(NotConnected::Local(why)) => {
             slog::warn!(hub.log, "this machine can't connect"; "error" => %why);
--- a/relay/src/net/discovery.rs
+++ b/relay/src/net/discovery.rs
@@ -33,7 +33,8 @@
 async fn call(addr: SocketAddr, path: &str) -> Result<Incoming, String> {
     // The callers' limit on the whole call is the shorter one.
     const CONNECT: Duration = Duration::from_secs(10);
-    let stream = socket::connect(addr, Instant::now() + CONNECT).await.map_err(|e| e.to_string())?;
+    let stream =
+        socket::connect(addr, Instant::now() + CONNECT, |_| false).await.map_err(|e| e.to_string())?;
     let stream = TokioIo::new(Steady(stream));
     let (mut sender, connection) = http1::handshake(stream).await.map_err(|e| e.to_string())?;
     // Ends with the answer's body, or as the sender is dropped.
--- a/relay/src/net/mod.rs
+++ b/relay/src/net/mod.rs
@@ -22,6 +22,7 @@
 
 use crate::clock::Clock;
 use crate::reducer::Event;
+use crate::socket::{self, NotConnected};
 use hallrelay::types::{Micros, ServerId, SessId};
 use hallrelay_config::facts::ReportOrder;
 use hallrelay_config::limits::Limits;
@@ -31,7 +32,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 /// What the reducer asks of one connection's task.
 #[derive(Debug)]
@@ -68,6 +71,8 @@
     /// Servers to which nothing new may be sent, as the reducer knows them.
     leaving: Rc<RefCell<BTreeSet<ServerId>>>,
     denials: Rc<permit::Counted>,
+    /// When a connection to any server came up last.
+    connected_at: Rc<Cell<Micros>>,
     /// Ways to other processes of this relay.
     peers: Rc<RefCell<BTreeMap<Peer, mpsc::Sender<peers::Out>>>>,
     /// As the configuration in force has them.
@@ -88,6 +93,7 @@
             last_id: Rc::new(Cell::new(0)),
             leaving: Rc::default(),
             denials: Rc::default(),
+            connected_at: Rc::default(),
             peers: Rc::new(RefCell::new(BTreeMap::new())),
             tuned: Rc::new(RefCell::new((Rc::new(limits), order))),
             clock: Clock::anchored(),
@@ -122,6 +128,17 @@
         (id, commands)
     }
 
+    /// Connects to a server. A way that is missing to this one alone, as others come up meanwhile, is the server's
+    /// trouble and not this machine's.
+    async fn connect(&self, addr: SocketAddr, by: Instant) -> Result<TcpStream, NotConnected> {
+        let began = self.clock.now();
+        let others_come_up = || self.connected_at.get() >= began;
+        let is_remote = |e: &std::io::Error| socket::may_be_one_way(e) && others_come_up();
+        let stream = socket::connect(addr, by, is_remote).await?;
+        self.connected_at.set(self.clock.now());
+        Ok(stream)
+    }
+
     fn command(&self, conn: SessId, command: Command) {
         if let Some(to) = self.conns.borrow().get(&conn) {
             if to.try_send(command).is_err() {
--- a/relay/src/net/probe.rs
+++ b/relay/src/net/probe.rs
@@ -66,7 +66,7 @@
 
 async fn connect(addr: SocketAddr, hub: &Hub) -> Result<TcpStream, Fault> {
     let by = Instant::now() + span(hub.limits().connect);
-    socket::connect(addr, by).await.map_err(|why| match why {
+    hub.connect(addr, by).await.map_err(|why| match why {
         // Guards all servers against trouble of this machine: it tells nothing of them.
         NotConnected::Local(_) => (DialEnd::Moot, None),
         NotConnected::Remote(_) | NotConnected::Late => (DialEnd::Unconnected, None),
--- a/relay/src/socket.rs
+++ b/relay/src/socket.rs
@@ -84,6 +84,11 @@
     }
 }
 
+/// Whether a failure of this machine's may be of the way to one address alone.
+pub fn may_be_one_way(error: &io::Error) -> bool {
+    error.raw_os_error().is_some_and(|number| [libc::ENETUNREACH, libc::EADDRNOTAVAIL].contains(&number))
+}
+
 /// Whether a failure to connect lies at this machine.
 fn is_local(error: &io::Error) -> bool {
     const LOCAL: [i32; 9] = [
@@ -100,18 +105,23 @@
     error.raw_os_error().is_some_and(|number| LOCAL.contains(&number))
 }
 
-/// Connects. While this machine can't, it is tried again, bounded by `by`.
+/// Connects. While this machine can't, it is tried again, bounded by `by`, unless `is_remote` says of the error that
+/// it lies at the other side after all.
 ///
 /// # Errors
 /// As `NotConnected` tells.
-pub async fn connect(addr: SocketAddr, by: Instant) -> Result<TcpStream, NotConnected> {
+pub async fn connect(
+    addr: SocketAddr,
+    by: Instant,
+    is_remote: impl Fn(&io::Error) -> bool,
+) -> Result<TcpStream, NotConnected> {
     // Seldom enough not to spin, often against the shortest limit of a connect (40 ms).
     const REST: Duration = Duration::from_millis(10);
     let mut local = None;
     let attempts = async {
         loop {
             match TcpStream::connect(addr).await {
-                Err(e) if is_local(&e) => local = Some(e),
+                Err(e) if is_local(&e) && !is_remote(&e) => local = Some(e),
                 done => return done,
             }
             sleep(REST).await;
--- a/soak/shim/faults.rs
+++ b/soak/shim/faults.rs
@@ -5,7 +5,7 @@
 use std::ffi::{c_char, c_int, c_long, c_void};
 use std::sync::atomic::{AtomicI64, AtomicPtr, AtomicU64, Ordering};
 
-const SLOTS: usize = 16;
+const SLOTS: usize = 24;
 /// Reads and writes of TCP sockets that are interrupted (EINTR).
 const INTERRUPTED: usize = 0;
 /// Reads and writes of TCP sockets that take one byte.
@@ -36,6 +36,8 @@
 /// Writes to clients that are told to have gone out and did not: no system does so. It plants a fault, for the
 /// proof that the harness finds one.
 const SWALLOWED: usize = 15;
+/// A port to which no connect goes (ENETUNREACH), as where the way to one machine is gone.
+const UNREACHABLE: usize = 16;
 
 const EIO: c_int = 5;
 const EINTR: c_int = 4;
@@ -269,6 +271,10 @@
 #[no_mangle]
 pub unsafe extern "C" fn connect(fd: c_int, address: *const c_void, size: u32) -> c_int {
     let inet = !address.is_null() && *address.cast::<u16>() == AF_INET;
+    let unreachable = value(UNREACHABLE);
+    if inet && unreachable > 0 && i64::from(u16::from_be((*address.cast::<InetAddress>()).port)) == unreachable {
+        return fails(ENETUNREACH) as c_int;
+    }
     if let Some(draw) = inet.then(|| hits(CONNECT)).flatten() {
         return one_of(draw, &[ENETUNREACH, EADDRNOTAVAIL]) as c_int;
     }
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -8,7 +8,7 @@
 /// The library that relay processes load.
 pub const LIBRARY: &str = env!("FAULTS_LIBRARY");
 
-const SLOTS: u64 = 16;
+const SLOTS: u64 = 24;
 const SLOT_BYTES: u64 = 8;
 
 /// What can fail, in the order of the library's table. Chances are in a thousand calls.
@@ -31,6 +31,8 @@
     SlowSync = 14,
     /// Planted, and never drawn: what is written to clients does not go out.
     Swallowed = 15,
+    /// A port that can't be reached, not a chance.
+    Unreachable = 16,
 }
 
 const CLIENT_PORT: u64 = 12;
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -320,6 +320,10 @@
             Kind::Reload { relay } => self.every(relay, length, RELOAD_EACH, |relay| relay.reload()),
             Kind::Backend { backend, behaviour } => self.backends[backend].behave(behaviour),
             Kind::ResetAll { backend } => self.backends[backend].reset_all(),
+            Kind::NoWay { backend } => {
+                let port = i64::from(self.backends[backend].address.port());
+                self.controls.iter().for_each(|control| control.set(Fault::Unreachable, port));
+            }
             Kind::Drain { backend } => self.change(backend, true, false),
             Kind::Join => {
                 let number = self.backends.len();
@@ -351,6 +355,9 @@
             Kind::Backend { backend, .. } => self.backends[backend].behave(Behaviour::Serves),
             Kind::Drain { backend } => self.change(backend, false, false),
             Kind::Discovery { .. } => self.discovery.set_mode(Mode::Serves),
+            Kind::NoWay { .. } => {
+                self.controls.iter().for_each(|control| control.set(Fault::Unreachable, 0));
+            }
             Kind::ClientsLeave => self.leaving -= 1,
             Kind::ClientsWriteSlowly => self.slow_writers -= 1,
             Kind::Pause { .. }
--- a/soak/src/trouble.rs
+++ b/soak/src/trouble.rs
@@ -48,6 +48,10 @@
         backend: usize,
         behaviour: Behaviour,
     },
+    /// No relay finds a way to a backend.
+    NoWay {
+        backend: usize,
+    },
     /// All connections of a backend's sessions are reset at once.
     ResetAll {
         backend: usize,
@@ -164,6 +168,7 @@
         behave(Behaviour::HalfAnswers),
         behave(Behaviour::DropsLater),
         Kind::ResetAll { backend },
+        Kind::NoWay { backend },
         Kind::Drain { backend },
         Kind::Drain { backend },
         Kind::Join,
--- a/soak/tests/single_faults.rs
+++ b/soak/tests/single_faults.rs
@@ -181,3 +181,16 @@
     ];
     breaks_nothing(&alone(1_014, troubles));
 }
+
+/// The way to one backend is gone, which the system says at once: it ranks as silent, and sessions do not try it one
+/// after the other.
+#[test]
+fn a_backend_without_a_way_to_it_holds_up_few_sessions() {
+    /// Beyond what a session takes whose first dial comes up.
+    const HELD_UP: Duration = Duration::from_millis(150);
+    let report = alone(1_015, vec![span(Kind::NoWay { backend: 0 }, 1_000, 7_500)]);
+    breaks_nothing(&report);
+    let answers = report.book.sessions.values().filter_map(|one| Some(one.answer.as_ref()?.0 - one.asked));
+    let held_up = answers.filter(|after| *after > HELD_UP).count();
+    assert!(held_up <= 4, "{held_up} of {} sessions", report.book.sessions.len());
+}
