Small servers' part of a session bounds cold budgets alone; no draw where relays are few

Change: slot_load beside session_load, for cold servers' budgets; all are drawn where relays are no more than N + 2 root of N + 2.

--- a/src/logic/estimate.rs
+++ b/src/logic/estimate.rs
@@ -10,12 +10,15 @@
     pub(super) congested: f64,
     pub(super) mean_load: f64,
     pub(super) session_load: f64,  // a session's part of a server
+    pub(super) slot_load: f64,     // the same where it bounds what a cold server gets
     pub(super) fleet_factor: f64,  // from this relay's own change to that of all relays
     pub(super) report_age: Micros, // in the mean
     pub(super) valid_until: Micros,
 }
 
-/// One session's part of a server, as far as reports tell it: of a server that five sessions fill.
+/// One session's part of a server at most, wherever load is foreseen.
+pub(super) const MOST_SESSION: f64 = 0.05;
+/// The same for a cold server's budget, as far as reports tell it: of a server that five sessions fill.
 pub(super) const MOST_TOLD: f64 = 0.2;
 
 impl Relay {
@@ -46,17 +49,24 @@
         let load = load - late * room * (1.0 - cong / k.max(1e-9));
         let (relays, own_sessions) = (f64::from(self.site.relays), f64::from(self.own_sessions));
         let fleet_factor = relays * own_sessions / (own_sessions + 8.0);
-        let (valid_until, session_load) = (self.now + SECOND / 4, self.estimate.session_load);
-        let mut g = FleetEstimate { valid_until, session_load, fleet_factor, ..FleetEstimate::default() };
+        let (valid_until, FleetEstimate { session_load, slot_load, .. }) =
+            (self.now + SECOND / 4, self.estimate);
+        let mut g =
+            FleetEstimate { valid_until, session_load, slot_load, fleet_factor, ..FleetEstimate::default() };
         if k > 0.0 {
             (g.capacity, g.mean_load, g.congested) = (USABLE * all, load / k, cong / k * (all - own) + own);
             g.report_age = (age / k) as Micros;
-            let moment = (demand / k * all / (own_sessions * relays).max(1.0)).clamp(0.002, 0.05);
+            let moment = (demand / k * all / (own_sessions * relays).max(1.0)).clamp(0.002, MOST_SESSION);
+            let told = |before: f64, most| ((demand + PRIOR * before) / (held + PRIOR)).clamp(0.002, most);
             let gain = if self.estimate.capacity > 0.0 { 0.08 } else { 1.0 };
             g.session_load = match held > 0.0 && self.own_sessions < FEW {
-                true => ((demand + PRIOR * g.session_load) / (held + PRIOR)).clamp(0.002, MOST_TOLD),
+                true => told(g.session_load, MOST_SESSION),
                 false => g.session_load + (moment - g.session_load) * gain,
             };
+            g.slot_load = match held > 0.0 && self.own_sessions < FEW {
+                true => told(g.slot_load, MOST_TOLD),
+                false => g.session_load,
+            };
             let since = self.net_sessions.sum(self.now, g.report_age + LAG);
             g.busy = (g.mean_load * (all - own) + own + since * fleet_factor * g.session_load).max(0.0);
         }
--- a/src/logic/memory.rs
+++ b/src/logic/memory.rs
@@ -1,6 +1,6 @@
 //! What a relay's decisions rest on, handed from a process to the one that takes its place. Decides nothing.
 
-use super::estimate::MOST_TOLD;
+use super::estimate::{MOST_SESSION, MOST_TOLD};
 use super::Relay;
 use crate::types::{Memory, Micros, Report, ServerId};
 
@@ -16,12 +16,13 @@
             let turn = (now.saturating_sub(v.next_slot.0), v.next_slot.1);
             Memory { server, report, misses, placed, turn }
         };
-        (self.estimate.session_load, self.servers.iter().map(one).collect())
+        (self.estimate.slot_load, self.servers.iter().map(one).collect())
     }
 
     /// Takes up what the process before knew; its own reports and dials are newer.
     pub(super) fn remember(&mut self, step: f64, servers: Vec<Memory>) {
-        self.estimate.session_load = step.clamp(0.002, MOST_TOLD);
+        self.estimate.session_load = step.clamp(0.002, MOST_SESSION);
+        self.estimate.slot_load = step.clamp(0.002, MOST_TOLD);
         for m in servers {
             let Some(v) = self.servers.get_mut(&m.server) else { continue };
             let then = |ago| self.now.saturating_sub(ago);
--- a/src/logic/mod.rs
+++ b/src/logic/mod.rs
@@ -77,7 +77,7 @@
 impl Relay {
     /// A relay that knows nothing yet. `seed` draws its chances; `site` names one listener at least.
     pub fn new(site: SiteFacts, seed: u64) -> Relay {
-        let estimate = FleetEstimate { session_load: 0.02, ..FleetEstimate::default() }; // till more is known
+        let estimate = FleetEstimate { session_load: 0.02, slot_load: 0.02, ..FleetEstimate::default() }; // till more is known
         let slot_key = mix(mix(seed) ^ u64::from(site.slot));
         let mut relay = Relay { rng: Chance::new(seed), slot_key, estimate, ..Relay::default() };
         relay.set_site(site);
--- a/src/logic/slow_start.rs
+++ b/src/logic/slow_start.rs
@@ -22,7 +22,10 @@
     fn drawn(&self, v: &Server, g: &FleetEstimate) -> bool {
         /// Sessions of one relay in a storm that may have the server in their pools before it is seen as one.
         const BESIDE: f64 = 1.3;
-        let budget = self.site.fall as f64 * self.sustainable_rate(v, g.session_load);
+        let budget = self.site.fall as f64 * self.sustainable_rate(v, g.slot_load);
+        if self.are_few(budget) {
+            return true;
+        }
         let pools = self.pools(g);
         let (wait, interval) = (self.arrivals.mean_gap() * pools, self.slot_interval(v, g, 1.0));
         // Till an interval is over since its start some relays have had no slot yet.
@@ -34,6 +37,11 @@
         draw as f64 <= bearable / at_once * u64::MAX as f64
     }
 
+    /// Whether the slots of all relays at once are no more than chance may add: slots alone hold the budget then.
+    fn are_few(&self, budget: f64) -> bool {
+        f64::from(self.site.relays) <= budget + 2.0 * budget.sqrt() + 2.0
+    }
+
     /// The sessions that come for each one whose pool has a given server.
     fn pools(&self, g: &FleetEstimate) -> f64 {
         ((g.capacity - g.congested) / POOL as f64).max(1.0)
@@ -46,11 +54,9 @@
         let (fall, long) = (self.site.fall, 4 * SECOND);
         let came = beside(fall).max(beside(long) * fall as f64 / long as f64);
         let all = came * f64::from(self.site.relays);
-        let budget = |v: &Server| fall as f64 * self.sustainable_rate(v, self.estimate.session_load);
-        // Where the slots of all relays at once are no more than chance may add, slots alone hold the budget.
-        let few = |n: f64| f64::from(self.site.relays) <= n + 2.0 * n.sqrt() + 2.0;
+        let budget = |v: &Server| fall as f64 * self.sustainable_rate(v, self.estimate.slot_load);
         let cold = self.servers.values().filter(|v| v.entry.ready() && self.warmth(v) < 1.0);
-        let sustained = cold.map(budget).filter(|&n| !few(n)).map(|n| n + 1.0).sum::<f64>();
+        let sustained = cold.map(budget).filter(|&n| !self.are_few(n)).map(|n| n + 1.0).sum::<f64>();
         sustained > 0.0 && sustained < all && !self.rng.hits(sustained / all)
     }
 
@@ -65,7 +71,7 @@
         // 1.4 for one relay, 4 for a hundred: the more share a server, the fewer have a session just then.
         let others = f64::from(self.site.relays - 1);
         let oversubscription = 1.4 + 3.6 * others / (others + 40.0);
-        let share = part * f64::from(self.site.relays) / self.sustainable_rate(v, g.session_load);
+        let share = part * f64::from(self.site.relays) / self.sustainable_rate(v, g.slot_load);
         // An interval is this and the wait for a session whose pool has the server: short for busy relays.
         let wait = self.arrivals.mean_gap() * self.pools(g);
         // The server sustained less while it was colder: by half of what it has warmed since the last slot.
@@ -75,7 +81,7 @@
     }
 
     /// The sessions a microsecond that a cold server sustains from all relays, by its warmth now.
-    fn sustainable_rate(&self, v: &Server, session_load: f64) -> f64 {
-        self.site.fall_multiple * self.warmth(v) / (self.site.cold.max(1) as f64 * session_load)
+    fn sustainable_rate(&self, v: &Server, slot_load: f64) -> f64 {
+        self.site.fall_multiple * self.warmth(v) / (self.site.cold.max(1) as f64 * slot_load)
     }
 }
