--- a/lab/tests/doubles.rs
+++ b/lab/tests/doubles.rs
@@ -67,14 +67,27 @@
                     self.refused.push((now + 200_000, *sess));
                     out.push(effect);
                 }
-                (Plant::TwoAtOnce, Effect::Dial { sess, dial, wait, addr, begin }) => {
-                    let second =
-                        Effect::Dial { sess: *sess, dial: dial + 1, addr: *addr, wait: *wait, begin: *begin };
+                (Plant::TwoAtOnce, Effect::Dial { sess, dial, server, wait, addr, begin }) => {
+                    let second = Effect::Dial {
+                        sess: *sess,
+                        dial: dial + 1,
+                        server: *server,
+                        addr: *addr,
+                        wait: *wait,
+                        begin: *begin,
+                    };
                     out.extend([effect, second]);
                 }
-                (Plant::PushesTheCold, Effect::Dial { sess, dial, wait, addr, begin }) => {
+                (Plant::PushesTheCold, Effect::Dial { sess, dial, server, wait, addr, begin }) => {
                     let addr = self.cold.unwrap_or(*addr);
-                    out.push(Effect::Dial { sess: *sess, dial: *dial, addr, wait: *wait, begin: *begin });
+                    out.push(Effect::Dial {
+                        sess: *sess,
+                        dial: *dial,
+                        server: *server,
+                        addr,
+                        wait: *wait,
+                        begin: *begin,
+                    });
                 }
                 (Plant::LeavesOpen, Effect::Move { .. }) => {}
                 (_, Effect::Dial { addr, .. }) => {
--- a/lab/tests/losses_form.rs
+++ b/lab/tests/losses_form.rs
@@ -77,7 +77,7 @@
 #[test]
 fn effects_are_read_as_they_are_logged() {
     let addr = "127.0.1.1:8000".parse().expect("an address");
-    let dial = Effect::Dial { sess: 1, dial: 2, addr, wait: 3, begin: 4 };
+    let dial = Effect::Dial { sess: 1, dial: 2, server: Some(9), addr, wait: 3, begin: 4 };
     assert_eq!(effect(dial), Entry::Dial { sess: 1, addr });
     assert_eq!(effect(Effect::Pass { sess: 1 }), Entry::Pass { sess: 1 });
     assert_eq!(effect(Effect::Refuse { sess: 1, retry_after: 2 }), Entry::Refuse { sess: 1 });
