--- a/lab/tests/doubles.rs
+++ b/lab/tests/doubles.rs
@@ -100,7 +100,7 @@
         let due = self.refused.iter().position(|(at, _)| *at <= now);
         if let (Some(at), Some(addr)) = (due, self.last_dial) {
             let (_, sess) = self.refused.remove(at);
-            out.push(Effect::Dial { sess, dial: 0, addr, wait: 300_000, begin: 200_000 });
+            out.push(Effect::Dial { server: None, sess, dial: 0, addr, wait: 300_000, begin: 200_000 });
         }
     }
 }
