--- a/relay/src/socket.rs
+++ b/relay/src/socket.rs
@@ -1,5 +1,6 @@
 //! Socket calls as Linux documents them: interrupted ones are made again, and failures to connect are told
 //! apart by whether they lie at this machine or at the other one.
+use std::future::Future;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -60,6 +61,34 @@
     }
 }
 
+/// Opens a socket at a start, for which the machine may have no room at the moment: tried again for 5 s, of the
+/// 10 s in which a start is owed.
+///
+/// # Errors
+/// Any other one, at once; the last one as the time is over.
+pub async fn once_there_is_room<T, F>(mut open: impl FnMut() -> F) -> io::Result<T>
+where
+    F: Future<Output = io::Result<T>>,
+{
+    const PATIENCE: Duration = Duration::from_secs(5);
+    const REST: Duration = Duration::from_millis(20);
+    const NO_ROOM: [i32; 4] = [libc::EMFILE, libc::ENFILE, libc::ENOBUFS, libc::ENOMEM];
+    let by = Instant::now() + PATIENCE;
+    loop {
+        match open().await {
+            Err(e) if e.raw_os_error().is_some_and(|n| NO_ROOM.contains(&n)) && Instant::now() < by => {
+                sleep(REST).await;
+            }
+            done => return done,
+        }
+    }
+}
+
+/// Whether a failure of this machine's may be of the way to one address alone.
+pub fn may_be_one_way(error: &io::Error) -> bool {
+    error.raw_os_error().is_some_and(|number| [libc::ENETUNREACH, libc::EADDRNOTAVAIL].contains(&number))
+}
+
 /// Whether a failure to connect lies at this machine.
 fn is_local(error: &io::Error) -> bool {
     const LOCAL: [i32; 9] = [
@@ -76,18 +105,23 @@
     error.raw_os_error().is_some_and(|number| LOCAL.contains(&number))
 }
 
-/// Connects. While this machine can't, it is tried again, bounded by `by`.
+/// Connects. While this machine can't, it is tried again, bounded by `by`, unless `is_remote` says of the error that
+/// it lies at the other side after all.
 ///
 /// # Errors
 /// As `NotConnected` tells.
-pub async fn connect(addr: SocketAddr, by: Instant) -> Result<TcpStream, NotConnected> {
+pub async fn connect(
+    addr: SocketAddr,
+    by: Instant,
+    is_remote: impl Fn(&io::Error) -> bool,
+) -> Result<TcpStream, NotConnected> {
     // Seldom enough not to spin, often against the shortest limit of a connect (40 ms).
     const REST: Duration = Duration::from_millis(10);
     let mut local = None;
     let attempts = async {
         loop {
             match TcpStream::connect(addr).await {
-                Err(e) if is_local(&e) => local = Some(e),
+                Err(e) if is_local(&e) && !is_remote(&e) => local = Some(e),
                 done => return done,
             }
             sleep(REST).await;
