--- a/relay/src/reducer/place.rs
+++ b/relay/src/reducer/place.rs
@@ -214,6 +214,7 @@
             list.instances.retain(|one| one.phase != Phase::Ready);
             list.whole = false;
         }
+        self.keep_list(&list, out);
         self.tell_successor(&list, out);
         self.list(list, out);
     }
