Soak: the oracle excuses only what could not be answered

Cause, seen on reading the change again: a pause excused each answer that fell due in it, also one that could be said behind it; every fault of a link excused two dials, though only a stalled way holds back a line's end. Change: one condition for pauses and accepts (held till it was lost), and stalled ways alone. Stricter; the tests keep theirs.

--- a/soak/src/oracle.rs
+++ b/soak/src/oracle.rs
@@ -135,17 +135,14 @@
         window.0 == session.relay
             && session.ended.is_some_and(|ended| window.1 <= ended.0 && ended.0 <= window.2 + LATE)
     };
-    let due = session.asked + session.wait;
-    let paused =
-        |pause: &(usize, At, At)| pause.0 == session.relay && pause.1 <= due + LATE && due <= pause.2 + SLACK;
-    // It lay in the accept queue till it was lost whatever comes.
-    let queued = |window: &(usize, At, At)| {
-        window.0 == session.relay && window.1 <= session.asked + SLACK && due + LATE <= window.2 + SLACK
+    // Nothing could be said from some moment on till it was lost whatever comes.
+    let held_till_lost = |window: &(usize, At, At), by: At| {
+        window.0 == session.relay && window.1 <= by && until <= window.2 + SLACK
     };
-    killed
-        || book.paused.iter().any(paused)
-        || book.unaccepting.iter().any(queued)
-        || book.clients_broken.iter().any(broken)
+    let paused = book.paused.iter().any(|window| held_till_lost(window, until));
+    // It lay in the accept queue all the time.
+    let queued = book.unaccepting.iter().any(|window| held_till_lost(window, session.asked + SLACK));
+    killed || paused || queued || book.clients_broken.iter().any(broken)
 }
 
 fn answered(book: &Book, session: &Session, blame: &mut Blame<'_>) {
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -322,8 +322,10 @@
             Kind::Backend { backend, behaviour } => self.backends[backend].behave(behaviour),
             Kind::ResetAll { backend } => self.backends[backend].reset_all(),
             Kind::Link { backend, way } => {
-                let now = ledger.now();
-                ledger.write(|book| book.stalled.push((backend, now, now + length)));
+                if way == Way::Stalls {
+                    let now = ledger.now();
+                    ledger.write(|book| book.stalled.push((backend, now, now + length)));
+                }
                 self.backends[backend].link.set(way);
             }
             Kind::NoWay { backend } => {
