--- a/review/stand/mod.rs
+++ b/review/stand/mod.rs
@@ -243,6 +243,18 @@
         }
     }
 
+    /// Whether the process has ended by itself.
+    pub fn has_ended(&mut self) -> bool {
+        let Some(child) = &mut self.child else { return true };
+        if !matches!(child.try_wait(), Ok(Some(_))) {
+            return false;
+        }
+        let id = child.id();
+        lock(&self.processes).retain(|other| *other != id);
+        self.child = None;
+        true
+    }
+
     pub fn signal(&self, name: &str) {
         if let Some(child) = &self.child {
             signal(child.id(), name);
