--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Runs one case: prepares a temporary folder, and starts its driver from the repository's root.
+# Runs one case: prepares a temporary folder, starts the case's driver from the repository's root, and ends what is
+# left of its processes.
 # Usage: review/run-case.sh NUMBER. Exit status: 1 the rule was broken, 0 it held, 2 the case could not run.
 cd "$(dirname "$0")/.." || exit 2
 number=$1
@@ -9,7 +10,18 @@
 FOLDER=$(mktemp -d) || exit 2
 RECORD=$PWD/review/$number/record.txt
 export RUN_COMMAND FOLDER RECORD
-"$driver"
+
+clean_up() {
+  for id in $(cat "$FOLDER/processes" 2>/dev/null); do
+    [ "$(cat "/proc/$id/comm" 2>/dev/null)" = hallrelay ] && kill -KILL "$id"
+  done
+  rm -rf "$FOLDER"
+}
+trap clean_up EXIT
+trap 'kill -KILL "$pid" 2>/dev/null; exit 2' INT TERM HUP
+
+"$driver" &
+pid=$!
+wait "$pid"
 status=$?
-[ -n "$KEEP" ] && echo "kept: $FOLDER" || rm -rf "$FOLDER"
 case $status in 0 | 1) exit $status ;; *) exit 2 ;; esac
--- a/review/stand/mod.rs
+++ b/review/stand/mod.rs
@@ -127,6 +127,9 @@
             .spawn()
             .expect("start the relay");
         lock(&self.processes).push(child.id());
+        // `run-case.sh` ends those that are left if this driver is ended from outside.
+        let ids = std::fs::OpenOptions::new().create(true).append(true).open(self.folder.join("processes"));
+        _ = ids.and_then(|mut ids| writeln!(ids, "{}", child.id()));
         self.record.line(&format!("relay {} started, process {}", settings.name, child.id()));
         Relay {
             name: settings.name.clone(),
