--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -6,6 +6,7 @@
 mod operator_call_beside_idle_callers;
 #[allow(dead_code)]
 mod stand;
+mod two_owners_after_spoilt_report;
 
 fn main() {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
@@ -16,6 +17,7 @@
         "drained-backend-after-failed-upgrade" => drained_backend_after_failed_upgrade::play(),
         "drained-backend-after-upgrade-in-outage" => drained_backend_after_upgrade_in_outage::play(),
         "operator-call-beside-idle-callers" => operator_call_beside_idle_callers::play(),
+        "two-owners-after-spoilt-report" => two_owners_after_spoilt_report::play(),
         other => stand::give_up(&format!("there is no case {other}")),
     }
 }
--- a/review/stand-2/stand.rs
+++ b/review/stand-2/stand.rs
@@ -2,7 +2,7 @@
 //! service, clients and operators' calls, all on loopback addresses. Only the standard library is used.
 use std::fs::File;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{exit, Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -125,10 +125,17 @@
     LAST_ID.fetch_add(1, Ordering::SeqCst)
 }
 
+/// Listens on a free port of a loopback address of its own, which no other connection takes as its own end.
+fn listen() -> TcpListener {
+    static LAST: AtomicU64 = AtomicU64::new(0);
+    let (process, n) = (std::process::id(), LAST.fetch_add(1, Ordering::SeqCst));
+    let ip = Ipv4Addr::new(127, 20 + (process % 200) as u8, (process / 200 % 250) as u8, 1 + n as u8 % 250);
+    TcpListener::bind((ip, 0)).expect("bind a free port")
+}
+
 /// An address that was free a moment ago.
 pub fn free_address() -> Address {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("bind a free port");
-    listener.local_addr().expect("read the local address")
+    listen().local_addr().expect("read the local address")
 }
 
 pub fn quoted(texts: &[String]) -> String {
@@ -150,7 +157,7 @@
 
 impl Backend {
     pub fn start(name: &str) -> Backend {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("bind a backend");
+        let listener = listen();
         let backend = Backend {
             name: name.to_string(),
             address: listener.local_addr().expect("read the local address"),
@@ -193,6 +200,12 @@
         }
     }
 
+    /// Sets the load report in answers to probes.
+    pub fn set_report(&self, report: &str) {
+        note(format!("{} reports {report}", self.name));
+        *lock(&self.report) = report.to_string();
+    }
+
     /// How many sessions arrived at `since` or later.
     pub fn opened_since(&self, since: u64) -> usize {
         lock(&self.opened).iter().filter(|(at, _)| *at >= since).count()
@@ -228,7 +241,7 @@
 impl Discovery {
     /// Starts the service with these entries, given by name and text, as the given version.
     pub fn start(name: &str, generation: u64, entries: Vec<(String, String)>) -> Discovery {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("bind discovery");
+        let listener = listen();
         let entries = entries.into_iter().map(|(id, text)| (generation, id, text)).collect();
         let discovery = Discovery {
             name: name.to_string(),
@@ -382,7 +395,7 @@
              \"AskWithin\":10000}},\"Charges\":{{\"CrossZone\":0,\"Moves\":0.021,\"Probe\":0.002}},\
              \"FamilyInfo\":{{\"Mode\":\"proxy\",\"Groups\":false,\"TellsDelay\":false,\"TellsLoad\":false,\
              \"MessageAim\":[60,100]}},\
-             \"Report\":{{\"How\":\"on_probe\",\"Fields\":[\"inflight\",\"x0\",\"x1\"]}},\
+             \"Report\":{{\"How\":\"on_probe\",\"Fields\":[\"busy_reqs\",\"x0\",\"x1\"]}},\
              \"Discovery\":\"subscribe\",\"FailureDomains\":[\"here\"],\"Zone\":0,\"Instances\":{},\
              \"SlotNo\":{}}}{}}}",
             self.name,
@@ -520,6 +533,10 @@
         (answer.starts_with("UP").then_some(client), answer)
     }
 
+    pub fn set_read_timeout(&self, time: u64) {
+        _ = self.stream.get_ref().set_read_timeout(Some(Duration::from_millis(time)));
+    }
+
     pub fn send(&mut self, line: &str) {
         _ = self.stream.get_mut().write_all(format!("{line}\r\n").as_bytes());
     }
