--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -2,11 +2,13 @@
 //! folder in `review/`, to which the record is written.
 mod budget_after_power_loss;
 mod drained_backend_after_failed_upgrade;
+mod drained_backend_after_restart_with_pushed_lists;
 mod drained_backend_after_upgrade_in_outage;
 mod operator_call_beside_idle_callers;
 #[allow(dead_code)]
 mod stand;
 mod two_owners_after_spoilt_report;
+mod update_due_with_open_sessions;
 
 fn main() {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
@@ -18,6 +20,10 @@
         "drained-backend-after-upgrade-in-outage" => drained_backend_after_upgrade_in_outage::play(),
         "operator-call-beside-idle-callers" => operator_call_beside_idle_callers::play(),
         "two-owners-after-spoilt-report" => two_owners_after_spoilt_report::play(),
+        "update-due-with-open-sessions" => update_due_with_open_sessions::play(),
+        "drained-backend-after-restart-with-pushed-lists" => {
+            drained_backend_after_restart_with_pushed_lists::play()
+        }
         other => stand::give_up(&format!("there is no case {other}")),
     }
 }
--- a/review/stand-2/stand.rs
+++ b/review/stand-2/stand.rs
@@ -151,6 +151,8 @@
     pub address: Address,
     /// When each session's line had arrived, and the line.
     pub opened: Arc<Mutex<Vec<(u64, String)>>>,
+    /// The number of open connections with a session.
+    sessions: Arc<AtomicU64>,
     /// The load report in answers to probes.
     pub report: Arc<Mutex<String>>,
 }
@@ -162,6 +164,7 @@
             name: name.to_string(),
             address: listener.local_addr().expect("read the local address"),
             opened: Arc::default(),
+            sessions: Arc::default(),
             report: Arc::new(Mutex::new("inflight=1,x0=0.1,x1=0".to_string())),
         };
         let own = backend.clone();
@@ -178,9 +181,11 @@
         _ = stream.set_nodelay(true);
         let Ok(reader) = stream.try_clone() else { return };
         let mut reader = BufReader::new(reader);
+        let mut has_session = false;
         loop {
             let mut line = String::new();
             if !matches!(reader.read_line(&mut line), Ok(1..)) {
+                self.sessions.fetch_sub(u64::from(has_session), Ordering::SeqCst);
                 return;
             }
             let line = line.trim_end();
@@ -189,17 +194,23 @@
                 Some("STATS") => format!("PONG {}\r\n", lock(&self.report)),
                 Some("OPEN") => {
                     lock(&self.opened).push((now(), line.to_string()));
+                    has_session = true;
+                    self.sessions.fetch_add(1, Ordering::SeqCst);
                     note(format!("{} runs {line}", self.name));
                     format!("UP {}-{}\r\n", self.name, unique_id())
                 }
                 _ => format!("{line}\r\n"),
             };
-            if stream.write_all(answer.as_bytes()).is_err() {
-                return;
-            }
+            // An end of the connection is seen by the next read.
+            _ = stream.write_all(answer.as_bytes());
         }
     }
 
+    /// The number of sessions that are open here now.
+    pub fn connected(&self) -> u64 {
+        self.sessions.load(Ordering::SeqCst)
+    }
+
     /// Sets the load report in answers to probes.
     pub fn set_report(&self, report: &str) {
         note(format!("{} reports {report}", self.name));
@@ -228,6 +239,7 @@
     /// The entries, each with the version in which it changed.
     entries: Vec<(u64, String, String)>,
     is_up: bool,
+    is_crowded: bool,
 }
 
 /// A sound discovery service, which can be down.
@@ -246,7 +258,7 @@
         let discovery = Discovery {
             name: name.to_string(),
             address: listener.local_addr().expect("read the local address"),
-            listed: Arc::new(Mutex::new(Listed { generation, entries, is_up: true })),
+            listed: Arc::new(Mutex::new(Listed { generation, entries, is_up: true, is_crowded: false })),
         };
         let own = discovery.clone();
         spawn(move || {
@@ -275,6 +287,12 @@
         note(format!("{} is {}", self.name, if is_up { "up" } else { "down" }));
     }
 
+    /// While the service is crowded, it turns new calls away.
+    pub fn set_crowded(&self, is_crowded: bool) {
+        lock(&self.listed).is_crowded = is_crowded;
+        note(format!("{} {}", self.name, if is_crowded { "turns calls away" } else { "answers calls" }));
+    }
+
     /// The list since a version; the whole list from version 0.
     fn since(&self, since: u64) -> Option<(u64, String, bool)> {
         let listed = lock(&self.listed);
@@ -304,6 +322,10 @@
         }
         let request = String::from_utf8_lossy(&request).to_string();
         let Some((_, whole, _)) = self.since(0) else { return };
+        if lock(&self.listed).is_crowded {
+            _ = stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n");
+            return note(format!("{}: 503", self.name));
+        }
         if !request.contains("follow=1") {
             let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", whole.len());
             _ = stream.write_all((head + &whole).as_bytes());
@@ -352,6 +374,8 @@
     pub relays: usize,
     pub slot: usize,
     pub may_probe: bool,
+    /// Whether the relay asks for lists (`subscribe`) or they are pushed (`automatic`).
+    pub discovery_mode: &'static str,
     pub folder: PathBuf,
 }
 
@@ -368,6 +392,7 @@
             relays: 1,
             slot: 0,
             may_probe: true,
+            discovery_mode: "subscribe",
             folder,
         }
     }
@@ -396,7 +421,7 @@
              \"FamilyInfo\":{{\"Mode\":\"proxy\",\"Groups\":false,\"TellsDelay\":false,\"TellsLoad\":false,\
              \"MessageAim\":[60,100]}},\
              \"Report\":{{\"How\":\"on_probe\",\"Fields\":[\"busy_reqs\",\"x0\",\"x1\"]}},\
-             \"Discovery\":\"subscribe\",\"FailureDomains\":[\"here\"],\"Zone\":0,\"Instances\":{},\
+             \"Discovery\":\"{}\",\"FailureDomains\":[\"here\"],\"Zone\":0,\"Instances\":{},\
              \"SlotNo\":{}}}{}}}",
             self.name,
             self.listen,
@@ -407,6 +432,7 @@
             listener("schedule-view", 2, "retryable"),
             listener("nomination", 5, "retryable"),
             self.may_probe,
+            self.discovery_mode,
             self.relays,
             self.slot,
             self.more,
