--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -5,4 +5,4 @@
 for program in target/release/hallrelay target/review-2/stand; do
   [ -x "$program" ] || { echo "$program is missing" >&2; exit 2; }
 done
-exec target/review-2/stand budget-after-power-loss 9
+exec target/review-2/stand drained-backend-after-restart-with-pushed-lists 9
--- a/review/stand-2/drained_backend_after_failed_upgrade.rs
+++ b/review/stand-2/drained_backend_after_failed_upgrade.rs
@@ -28,8 +28,8 @@
 
     // All relays heed the drain, also the new process of r2.
     let checked_from = now();
-    traffic(old.listen, now() + 3_000, 60);
-    traffic(fleet.relays[0].listen, now() + 2_000, 60);
+    traffic(old.listen, "nomination", now() + 3_000, 60);
+    traffic(fleet.relays[0].listen, "nomination", now() + 2_000, 60);
     if fleet.backends[1].opened_since(checked_from) > 0 {
         verdict(&["a session was sent to b-1, although the drain was over a second old".to_string()]);
     }
@@ -41,7 +41,7 @@
     }
     let from = now();
     note(format!("clients come to r2, {} ms after the drain", from - drained_at));
-    traffic(old.listen, now() + 10_000, 60);
+    traffic(old.listen, "nomination", now() + 10_000, 60);
     let of = |i: usize| fleet.backends[i].opened_since(from);
     note(format!("sessions sent by r2: {} to b-0, {} to b-1, {} to b-2", of(0), of(1), of(2)));
     note(format!("r0 says: {}", fleet.relays[0].grants()));
--- a/review/stand-2/drained_backend_after_upgrade_in_outage.rs
+++ b/review/stand-2/drained_backend_after_upgrade_in_outage.rs
@@ -6,7 +6,7 @@
 const OUTAGE: u64 = 8_000;
 
 pub fn play() {
-    let backends: Vec<Backend> = (0..3).map(|i| Backend::start(&format!("b-{i}"))).collect();
+    let backends: Vec<Backend> = (0..3).map(|i| Backend::start(&format!("b-{i}"), &POINTE_A_PIERRE)).collect();
     let entries =
         || backends.iter().map(|backend| (backend.name.clone(), backend.entry("up"))).collect::<Vec<_>>();
     let first = Discovery::start("discovery, first address", 41, entries());
@@ -23,7 +23,7 @@
     }
     wait_ms(1_000);
     let told_at = now();
-    traffic(old.listen, now() + 1_500, 40);
+    traffic(old.listen, "nomination", now() + 1_500, 40);
     if backends[1].opened_since(told_at) > 0 {
         verdict(&["a session was sent to b-1 a second after discovery had told that it drains".to_string()]);
     }
@@ -38,7 +38,7 @@
     config.write();
     old.signal("HUP");
     wait_ms(500);
-    traffic(old.listen, now() + 500, 40);
+    traffic(old.listen, "nomination", now() + 500, 40);
     let before = backends[1].opened_since(told_at);
     note(format!("sent to b-1 by the old process after the drain: {before}"));
 
@@ -52,7 +52,7 @@
     if checked_from + 1_000 > down_at + OUTAGE {
         give_up("the new process was ready too late");
     }
-    traffic(new.listen, down_at + OUTAGE - 500, 40);
+    traffic(new.listen, "nomination", down_at + OUTAGE - 500, 40);
     let of = |i: usize| backends[i].opened_since(checked_from);
     note(format!("during the outage the new process sent {}, {}, {} sessions", of(0), of(1), of(2)));
     let (sent, others) = (of(1), of(0) + of(2));
@@ -61,7 +61,7 @@
         second.set_up(true);
         wait_ms(7_000);
         let later = now();
-        traffic(new.listen, now() + 1_000, 40);
+        traffic(new.listen, "nomination", now() + 1_000, 40);
         note(format!("after the outage it sent {} sessions to b-1", backends[1].opened_since(later)));
     }
     if others == 0 {
--- a/review/stand-2/stand.rs
+++ b/review/stand-2/stand.rs
@@ -149,6 +149,7 @@
 pub struct Backend {
     pub name: String,
     pub address: Address,
+    zone: &'static str,
     /// When each session's line had arrived, and the line.
     pub opened: Arc<Mutex<Vec<(u64, String)>>>,
     /// The number of open connections with a session.
@@ -158,11 +159,12 @@
 }
 
 impl Backend {
-    pub fn start(name: &str) -> Backend {
+    pub fn start(name: &str, site: &Site) -> Backend {
         let listener = listen();
         let backend = Backend {
             name: name.to_string(),
             address: listener.local_addr().expect("read the local address"),
+            zone: site.zone,
             opened: Arc::default(),
             sessions: Arc::default(),
             report: Arc::new(Mutex::new("inflight=1,x0=0.1,x1=0".to_string())),
@@ -225,9 +227,9 @@
     /// The entry of the endpoint list.
     pub fn entry(&self, lifecycle: &str) -> String {
         format!(
-            "{{\"instanceId\":\"{}\",\"hostPort\":\"{}\",\"zone\":\"here\",\"machineType\":\"m\",\"cell\":0,\
+            "{{\"instanceId\":\"{}\",\"hostPort\":\"{}\",\"zone\":\"{}\",\"machineType\":\"m\",\"cell\":0,\
              \"lifecycle\":\"{lifecycle}\",\"weight\":1.0,\"startedAtMs\":0}}",
-            self.name, self.address
+            self.name, self.address, self.zone
         )
     }
 }
@@ -361,6 +363,51 @@
 
 // ---------------------------------------------------------------- relays
 
+/// The figures of a deployment that a relay's settings hold. Times are in ms.
+pub struct Site {
+    /// Name, utility, handshake target and dial timeout of each listener.
+    listeners: [(&'static str, u32, u32, u32); 2],
+    message_aims: [u32; 2],
+    zone: &'static str,
+    /// `subscribe`: the relay asks for lists; `automatic`: they are pushed.
+    discovery: &'static str,
+    pub drain_grace: u64,
+    cold: u32,
+    cold_from: f64,
+    fall_multiple: f64,
+    fall: u32,
+    dials: u32,
+}
+
+/// Each time limit is so much longer on sockets.
+pub const SLACK: u64 = 50;
+
+pub const POINTE_A_PIERRE: Site = Site {
+    listeners: [("schedule-view", 2, 300, 1800), ("nomination", 5, 500, 3000)],
+    message_aims: [60, 100],
+    zone: "couva-control",
+    discovery: "subscribe",
+    drain_grace: 250,
+    cold: 23_000,
+    cold_from: 0.14,
+    fall_multiple: 3.0,
+    fall: 2_000,
+    dials: 5,
+};
+
+pub const OEFEN_LIVE_NL: Site = Site {
+    listeners: [("patient-feed", 1, 300, 1200), ("therapist-feed", 3, 300, 1200)],
+    message_aims: [60, 250],
+    zone: "amsterdam-west",
+    discovery: "automatic",
+    drain_grace: 1_000,
+    cold: 8_500,
+    cold_from: 0.32,
+    fall_multiple: 2.5,
+    fall: 1_000,
+    dials: 6,
+};
+
 /// The parts of a relay's configuration that differ between cases.
 #[derive(Clone)]
 pub struct RelayConfig {
@@ -373,9 +420,7 @@
     pub more: String,
     pub relays: usize,
     pub slot: usize,
-    pub may_probe: bool,
-    /// Whether the relay asks for lists (`subscribe`) or they are pushed (`automatic`).
-    pub discovery_mode: &'static str,
+    pub site: &'static Site,
     pub folder: PathBuf,
 }
 
@@ -391,8 +436,7 @@
             more: String::new(),
             relays: 1,
             slot: 0,
-            may_probe: true,
-            discovery_mode: "subscribe",
+            site: &POINTE_A_PIERRE,
             folder,
         }
     }
@@ -403,38 +447,47 @@
 
     /// Writes the configuration file.
     pub fn write(&self) {
-        let listener = |name: &str, utility: u32, effect: &str| {
+        let site = self.site;
+        let listener = |(name, utility, target, timeout): &(&str, u32, u32, u32)| {
             format!(
-                "{{\"Name\":\"{name}\",\"Utility\":{utility},\"Effect\":\"{effect}\",\"Group\":\"all\",\
-                 \"Window\":5000,\"HandshakeTarget\":300,\"DialTimeout\":1800}}"
+                "{{\"Name\":\"{name}\",\"Utility\":{utility},\"Effect\":\"retryable\",\"Group\":\"all\",\
+                 \"Window\":5000,\"HandshakeTarget\":{target},\"DialTimeout\":{timeout}}}"
             )
         };
-        let text = format!(
-            "{{\"name\":\"{}\",\"listen\":\"{}\",\"discovery\":\"{}\",\"seed\":\"{:016x}\",\
-             \"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":512}},\
-             \"known\":{{\"generation\":{},\"reset\":true,\"instances\":[{}]}},\"settings\":{{\
-             \"Listeners\":[{},{}],\
-             \"Ceilings\":{{\"MayProbe\":{},\"MostDials\":5,\"MaxOpen\":1000000,\"RetryAfter\":false,\
+        let listeners: Vec<String> = site.listeners.iter().map(listener).collect();
+        let settings = format!(
+            "{{\"Listeners\":[{}],\
+             \"Ceilings\":{{\"MayProbe\":true,\"MostDials\":{},\"MaxOpen\":1000000,\"RetryAfter\":false,\
              \"MaxRetryAfter\":1500,\"ConnectTimeout\":250}},\
-             \"Rules\":{{\"Cold\":23000,\"ColdFrom\":0.14,\"FallMultiple\":3,\"Fall\":2000,\"DrainGrace\":250,\
+             \"Rules\":{{\"Cold\":{},\"ColdFrom\":{},\"FallMultiple\":{},\"Fall\":{},\"DrainGrace\":{},\
              \"AskWithin\":10000}},\"Charges\":{{\"CrossZone\":0,\"Moves\":0.021,\"Probe\":0.002}},\
-             \"FamilyInfo\":{{\"Mode\":\"proxy\",\"Groups\":false,\"TellsDelay\":false,\"TellsLoad\":false,\
-             \"MessageAim\":[60,100]}},\
+             \"FamilyInfo\":{{\"Mode\":\"proxy\",\"Groups\":true,\"TellsDelay\":true,\"TellsLoad\":true,\
+             \"MessageAim\":{:?}}},\
              \"Report\":{{\"How\":\"on_probe\",\"Fields\":[\"busy_reqs\",\"x0\",\"x1\"]}},\
-             \"Discovery\":\"{}\",\"FailureDomains\":[\"here\"],\"Zone\":0,\"Instances\":{},\
-             \"SlotNo\":{}}}{}}}",
+             \"Discovery\":\"{}\",\"FailureDomains\":[\"{}\"],\"Zone\":0,\"Instances\":{},\"SlotNo\":{}}}",
+            listeners.join(","),
+            site.dials,
+            site.cold,
+            site.cold_from,
+            site.fall_multiple,
+            site.fall,
+            site.drain_grace,
+            site.message_aims,
+            site.discovery,
+            site.zone,
+            self.relays,
+            self.slot
+        );
+        let text = format!(
+            "{{\"name\":\"{}\",\"listen\":\"{}\",\"discovery\":\"{}\",\"seed\":\"{:016x}\",\
+             \"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":512}},\
+             \"known\":{{\"generation\":{},\"reset\":true,\"instances\":[{}]}},\"settings\":{settings}{}}}",
             self.name,
             self.listen,
             self.discovery,
             unique_id(),
             self.known.0,
             self.known.1.join(","),
-            listener("schedule-view", 2, "retryable"),
-            listener("nomination", 5, "retryable"),
-            self.may_probe,
-            self.discovery_mode,
-            self.relays,
-            self.slot,
             self.more,
         );
         std::fs::write(self.path(), text).expect("write the configuration");
@@ -550,9 +603,12 @@
             return (None, "not connected".to_string());
         };
         _ = stream.set_nodelay(true);
-        _ = stream.set_read_timeout(Some(Duration::from_millis(2600)));
         let mut client = Client { id, stream: BufReader::new(stream) };
-        let line = format!("OPEN {id:016x} {id:016x} c={listener},d=1800");
+        let sites = [POINTE_A_PIERRE, OEFEN_LIVE_NL];
+        let listed = sites.iter().flat_map(|site| &site.listeners).find(|listed| listed.0 == listener);
+        let timeout = listed.expect("the listener is of a site").3;
+        _ = client.stream.get_ref().set_read_timeout(Some(Duration::from_millis(u64::from(timeout) + 600)));
+        let line = format!("OPEN {id:016x} {id:016x} c={listener},d={timeout}");
         client.send(&line);
         let answer = client.receive();
         note(format!("client: {line} -> {answer}"));
@@ -579,9 +635,9 @@
 }
 
 /// Requests a session each `pause` ms until `until`; each session sends one line, reads its echo and ends.
-pub fn traffic(relay: Address, until: u64, pause: u64) {
+pub fn traffic(relay: Address, listener: &str, until: u64, pause: u64) {
     while now() < until {
-        let (client, _) = Client::open(relay, "nomination");
+        let (client, _) = Client::open(relay, listener);
         if let Some(mut client) = client {
             client.send("M 1");
             client.receive();
@@ -614,7 +670,7 @@
 
 impl Fleet {
     pub fn start(count: usize) -> Fleet {
-        let backends: Vec<Backend> = (0..3).map(|i| Backend::start(&format!("b-{i}"))).collect();
+        let backends: Vec<Backend> = (0..3).map(|i| Backend::start(&format!("b-{i}"), &POINTE_A_PIERRE)).collect();
         let entries = backends.iter().map(|backend| (backend.name.clone(), backend.entry("up"))).collect();
         let discovery = Discovery::start("discovery", 41, entries);
         let addresses: Vec<String> = (0..count).map(|_| free_address().to_string()).collect();
--- a/review/stand-2/two_owners_after_spoilt_report.rs
+++ b/review/stand-2/two_owners_after_spoilt_report.rs
@@ -28,7 +28,7 @@
 }
 
 pub fn play() {
-    let backends: Vec<Backend> = (0..3).map(|i| Backend::start(&format!("b-{i}"))).collect();
+    let backends: Vec<Backend> = (0..3).map(|i| Backend::start(&format!("b-{i}"), &POINTE_A_PIERRE)).collect();
     let entries: Vec<(String, String)> =
         backends.iter().map(|backend| (backend.name.clone(), backend.entry("up"))).collect();
     let discovery = Discovery::start("discovery", 41, entries.clone());
@@ -40,7 +40,7 @@
         backends[2].set_report("inflight=4294967295,x0=0.1,x1=0");
     }
     // The relay probes its backends while clients come.
-    traffic(old.listen, now() + 4_000, 40);
+    traffic(old.listen, "nomination", now() + 4_000, 40);
     // Sessions that are open as the relay is replaced.
     let until = now() + 7_000;
     let open: Vec<Client> = (0..40).filter_map(|_| Client::open(old.listen, "nomination").0).collect();
