--- a/review/stand-2/drained_backend_after_restart_with_pushed_lists.rs
+++ b/review/stand-2/drained_backend_after_restart_with_pushed_lists.rs
@@ -41,7 +41,9 @@
     }
     let mut broken = Vec::new();
     if sent > 0 {
-        broken.push(format!("{sent} new sessions were sent to b-1 more than {GRACE} ms after the new process was up"));
+        broken.push(format!(
+            "{sent} new sessions were sent to b-1 more than {GRACE} ms after the new process was up"
+        ));
     }
     verdict(&broken)
 }
--- a/review/stand-2/drained_backend_after_upgrade_in_outage.rs
+++ b/review/stand-2/drained_backend_after_upgrade_in_outage.rs
@@ -6,7 +6,8 @@
 const OUTAGE: u64 = 8_000;
 
 pub fn play() {
-    let backends: Vec<Backend> = (0..3).map(|i| Backend::start(&format!("b-{i}"), &POINTE_A_PIERRE)).collect();
+    let backends: Vec<Backend> =
+        (0..3).map(|i| Backend::start(&format!("b-{i}"), &POINTE_A_PIERRE)).collect();
     let entries =
         || backends.iter().map(|backend| (backend.name.clone(), backend.entry("up"))).collect::<Vec<_>>();
     let first = Discovery::start("discovery, first address", 41, entries());
--- a/review/stand-2/stand.rs
+++ b/review/stand-2/stand.rs
@@ -508,6 +508,11 @@
         command.stderr(File::create(&log).expect("create the log"));
         let child = command.spawn().expect("start the relay");
         let process = child.id();
+        // `review/run-case-2.sh` ends these processes if this program is killed.
+        if let Some(path) = std::env::var_os("PROCESSES") {
+            let file = File::options().append(true).open(path);
+            _ = file.and_then(|mut file| writeln!(file, "{process}"));
+        }
         let child = Arc::new(Mutex::new(child));
         lock(&CHILDREN).push(child.clone());
         note(format!("{} started as process {process}, operators at {operator}", self.name));
@@ -588,7 +593,6 @@
 
 // ---------------------------------------------------------------- clients
 
-
 /// A client's connection with an open session.
 pub struct Client {
     pub id: u64,
@@ -670,7 +674,8 @@
 
 impl Fleet {
     pub fn start(count: usize) -> Fleet {
-        let backends: Vec<Backend> = (0..3).map(|i| Backend::start(&format!("b-{i}"), &POINTE_A_PIERRE)).collect();
+        let backends: Vec<Backend> =
+            (0..3).map(|i| Backend::start(&format!("b-{i}"), &POINTE_A_PIERRE)).collect();
         let entries = backends.iter().map(|backend| (backend.name.clone(), backend.entry("up"))).collect();
         let discovery = Discovery::start("discovery", 41, entries);
         let addresses: Vec<String> = (0..count).map(|_| free_address().to_string()).collect();
--- a/review/stand-2/two_owners_after_spoilt_report.rs
+++ b/review/stand-2/two_owners_after_spoilt_report.rs
@@ -28,7 +28,8 @@
 }
 
 pub fn play() {
-    let backends: Vec<Backend> = (0..3).map(|i| Backend::start(&format!("b-{i}"), &POINTE_A_PIERRE)).collect();
+    let backends: Vec<Backend> =
+        (0..3).map(|i| Backend::start(&format!("b-{i}"), &POINTE_A_PIERRE)).collect();
     let entries: Vec<(String, String)> =
         backends.iter().map(|backend| (backend.name.clone(), backend.entry("up"))).collect();
     let discovery = Discovery::start("discovery", 41, entries.clone());
@@ -55,7 +56,9 @@
     note(format!("1.5 s later, readyz of the old process: {:?}, of the new one: {:?}", states[0], states[1]));
     let mut broken = Vec::new();
     if states.iter().flatten().filter(|answer| answer.0 == 200).count() > 1 {
-        broken.push("two processes of one relay say that they serve, 1.5 s after the new one's yes".to_string());
+        broken.push(
+            "two processes of one relay say that they serve, 1.5 s after the new one's yes".to_string(),
+        );
     }
     let count = held.len();
     let lost = held.into_iter().filter_map(|held| held.join().ok().flatten()).count();
