Laboratories beside each other never find the same address

Cause: `free_port` binds a port once and gives it up.

Change: each program claims one of 64 ranges of 312 ports by a listening socket on 127.15.0.1 that it holds until it ends, and a port is not found again while others of the range are left.

--- a/emulator/src/net/addresses.rs
+++ b/emulator/src/net/addresses.rs
@@ -1,13 +1,18 @@
 //! Free addresses of 127.0.0.0/8.
-use crate::clients::mix;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Mutex, PoisonError};
 
 /// First of the ports among which a free one is searched. The system assigns none of them to outgoing
 /// connections, so that a server's port cannot be taken while the server is down.
-const FIRST_PORT: u64 = 10_000;
-/// Number of ports that are searched.
-const PORT_COUNT: u64 = 20_000;
+const FIRST_PORT: u16 = 10_000;
+/// Number of port ranges. Each running program claims one.
+const RANGE_COUNT: u16 = 64;
+/// Number of ports in a range.
+const PORTS_PER_RANGE: u16 = 312;
+/// Address whose port `FIRST_PORT + n` is bound by the program that has claimed range `n`.
+const CLAIM_ADDRESS: Ipv4Addr = Ipv4Addr::new(127, 15, 0, 1);
 
 /// Why no address is available.
 #[derive(Debug, thiserror::Error)]
@@ -44,25 +49,72 @@
     }
 }
 
-/// Finds a free port of an address.
+/// A range of ports that no other program searches. A free port is found by binding it once, and it is free
+/// again until its server listens on it, or while that server is down. Two programs that run at the same time
+/// must therefore not search the same ports.
+pub struct PortRange {
+    first: u16,
+    /// Number of ports that were handed out.
+    used: AtomicUsize,
+    /// Claims the range. The system releases the claim when this process ends.
+    _claim: TcpListener,
+}
+
+impl PortRange {
+    /// Claims a range.
+    ///
+    /// # Errors
+    /// If all ranges are claimed, or the address for claims cannot be bound.
+    pub fn claim() -> Result<PortRange, AddressError> {
+        let mut last = None;
+        for number in 0..RANGE_COUNT {
+            let addr = SocketAddr::from((CLAIM_ADDRESS, FIRST_PORT + number));
+            match TcpListener::bind(addr) {
+                Ok(claim) => {
+                    let first = FIRST_PORT + number * PORTS_PER_RANGE;
+                    return Ok(PortRange { first, used: AtomicUsize::new(0), _claim: claim });
+                }
+                Err(error) if error.kind() == io::ErrorKind::AddrInUse => last = Some(error),
+                Err(source) => return Err(AddressError::Bind { addr, source }),
+            }
+        }
+        Err(AddressError::NoneFree { ip: CLAIM_ADDRESS, last })
+    }
+
+    /// Finds a free port of an address in this range. The search starts behind the port found last, so that
+    /// a port is not handed out again while others are left.
+    ///
+    /// # Errors
+    /// If the address cannot be bound, or none of its ports in this range is free.
+    pub fn free_port(&self, ip: Ipv4Addr) -> Result<SocketAddr, AddressError> {
+        let mut last = None;
+        for _ in 0..PORTS_PER_RANGE {
+            let offset = self.used.fetch_add(1, Ordering::Relaxed) % usize::from(PORTS_PER_RANGE);
+            let addr = SocketAddr::from((ip, self.first + offset as u16));
+            match TcpListener::bind(addr) {
+                Ok(_) => return Ok(addr),
+                Err(error) if error.kind() == io::ErrorKind::AddrInUse => last = Some(error),
+                Err(source) => return Err(AddressError::Bind { addr, source }),
+            }
+        }
+        Err(AddressError::NoneFree { ip, last })
+    }
+}
+
+/// The range of this process, claimed at its first use.
+static PORT_RANGE: Mutex<Option<PortRange>> = Mutex::new(None);
+
+/// Finds a free port of an address in the range of this process.
 ///
 /// # Errors
-/// If the address cannot be bound, or none of its ports is free.
+/// If no range can be claimed, the address cannot be bound, or none of its ports is free.
 pub fn free_port(ip: Ipv4Addr) -> Result<SocketAddr, AddressError> {
-    // The start of the search depends on the process id, so that programs that run at the same time search
-    // different ports.
-    let start = mix(u64::from(std::process::id()) << 32 | u64::from(u32::from(ip)));
-    let mut last = None;
-    for offset in 0..PORT_COUNT {
-        let port = FIRST_PORT + start.wrapping_add(offset) % PORT_COUNT;
-        let addr = SocketAddr::from((ip, port as u16));
-        match TcpListener::bind(addr) {
-            Ok(_) => return Ok(addr),
-            Err(error) if error.kind() == io::ErrorKind::AddrInUse => last = Some(error),
-            Err(source) => return Err(AddressError::Bind { addr, source }),
-        }
-    }
-    Err(AddressError::NoneFree { ip, last })
+    let mut range = PORT_RANGE.lock().unwrap_or_else(PoisonError::into_inner);
+    let range = match &mut *range {
+        Some(claimed) => claimed,
+        unclaimed => unclaimed.insert(PortRange::claim()?),
+    };
+    range.free_port(ip)
 }
 
 /// Addresses of the servers, by relay and server. Each pair has its own address: a server can identify a
--- a/emulator/src/net/mod.rs
+++ b/emulator/src/net/mod.rs
@@ -11,6 +11,6 @@
 pub mod malformed;
 pub mod server;
 
-pub use addresses::{endpoint_addresses, free_port, AddressError};
+pub use addresses::{endpoint_addresses, free_port, AddressError, PortRange};
 pub use clock::Clock;
 pub use host::{ConnectionCommand, Host, LeaveCommand, Shared};
