Hot restart hands over the endpoint list also after discovery has moved

Cause: `move_discovery` set the list's version to `None` until the new address answers, and `encoded_list` gave nothing without a version, so the successor kept the list of its configuration. On related paths: lists of the old watch were stored as the new address's; an adopted list left the old version in force, so that a later but older change could undo a drain; drains heard from other relays were neither stored nor handed over.

Change: `ListVersion` is a version with its source and is always known; only versions of one source are compared. The two processes tell each other the source, and servers that were removed, in a key of the list that earlier builds ignore (`hot_restart::ListExtension`). Messages and their version stay as they are.

--- /dev/null
+++ b/hot_restart/src/extension.rs
@@ -0,0 +1,41 @@
+//! What one process tells the other about an endpoint list beyond the list itself. It is attached to the list
+//! as one more key: earlier builds reject a message with an unknown key, but ignore unknown keys of a list.
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+/// The key of the extension in the list.
+const KEY: &str = "hotRestart";
+
+/// A server that is no longer in the list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RemovedServer {
+    /// Name of the server in the list.
+    pub name: String,
+    /// Start time of the server, in microseconds of Unix time.
+    pub started_at: u64,
+}
+
+/// Facts about an endpoint list that discovery's format has no place for.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct ListExtension {
+    /// Address of the discovery service that gave the list. Versions of another one cannot be compared.
+    pub source: Option<String>,
+    /// Servers that were removed from the list, and must not return by the list of another relay.
+    pub removed: Vec<RemovedServer>,
+}
+
+impl ListExtension {
+    /// Attaches the extension to an encoded list.
+    pub fn attach(&self, list: &mut Value) {
+        // Encoding cannot fail: the content consists of strings and numbers.
+        if let (Some(list), Ok(extension)) = (list.as_object_mut(), serde_json::to_value(self)) {
+            list.insert(KEY.to_string(), extension);
+        }
+    }
+
+    /// The extension of an encoded list. All its facts are absent if it has none, or an invalid one.
+    pub fn of(list: &Value) -> ListExtension {
+        list.get(KEY).and_then(|extension| serde_json::from_value(extension.clone()).ok()).unwrap_or_default()
+    }
+}
--- a/hot_restart/src/lib.rs
+++ b/hot_restart/src/lib.rs
@@ -11,9 +11,11 @@
 #![deny(missing_docs)]
 
 pub mod codec;
+pub mod extension;
 pub mod message;
 pub mod ownership;
 
 pub use codec::{decode, encode, MessageError};
+pub use extension::{ListExtension, RemovedServer};
 pub use message::{ExclusionList, LoadReport, Message, RelayState, ServerState, SessionState, SlowStartSlot};
 pub use ownership::{OwnershipAction, OwnershipEvent, ProcessId, SocketOwnership};
--- a/relay/src/reducer/excluded_backends.rs
+++ b/relay/src/reducer/excluded_backends.rs
@@ -46,7 +46,7 @@
         let listed = changed.iter().filter_map(|id| self.servers.get(self.ids.get(id)?));
         let instances: Vec<Instance> = listed.map(|server| server.instance.clone()).collect();
         if !instances.is_empty() {
-            let generation = self.list_version.unwrap_or(0);
+            let generation = self.list_version.generation;
             self.apply_list(List { generation, instances, ..List::default() }, out);
         }
     }
--- a/relay/src/reducer/listener_ownership.rs
+++ b/relay/src/reducer/listener_ownership.rs
@@ -3,9 +3,8 @@
 use super::lifecycle::LifecycleEvent;
 use super::{log, Effect, Reducer, Timer};
 use hallrelay_balancer::types::{
-    self as balancer, Input, Micros, Phase, ServerSnapshot, SessionId, SlotSnapshot, Snapshot,
+    self as balancer, Input, Micros, ServerSnapshot, SessionId, SlotSnapshot, Snapshot,
 };
-use hallrelay_config::list::{self, List};
 use hallrelay_hot_restart::ownership::READY_TIMEOUT;
 use hallrelay_hot_restart::{
     ExclusionList, LoadReport, Message, OwnershipAction, OwnershipEvent, ProcessId, RelayState, ServerState,
@@ -76,7 +75,7 @@
                     self.predecessor_session_ids.clear();
                 }
             }
-            OwnershipAction::PredecessorList(list) => self.receive_predecessor_list(&list, out),
+            OwnershipAction::PredecessorList(list) => self.receive_process_list(&list, out),
             OwnershipAction::Log(text) => log(text, out),
         }
     }
@@ -118,7 +117,7 @@
     fn relay_state(&self) -> RelayState {
         let Snapshot { session_load, servers } = self.balancer.snapshot(self.now);
         RelayState {
-            endpoint_list: self.encoded_list(),
+            endpoint_list: Some(self.list_for_process(self.encoded_list())),
             servers: servers.into_iter().filter_map(|known| self.server_state(known)).collect(),
             session_load,
             draining_age: self.draining_since().map(|since| self.now - since),
@@ -153,13 +152,8 @@
     /// state.
     fn take_over(&mut self, state: RelayState, out: &mut Vec<Effect>) {
         log("this process takes over from its predecessor", out);
-        // This process's own watch may have received a newer list by now. A list that can't be parsed is
-        // ignored.
-        let list = state.endpoint_list.and_then(|list| list::parse(list.to_string().as_bytes()).ok());
-        if let Some(list) = list {
-            if self.list_version.is_none_or(|own| own < list.generation) {
-                self.apply_list(List { is_complete: true, ..list }, out);
-            }
+        if let Some(list) = &state.endpoint_list {
+            self.adopt_predecessor_list(list, out);
         }
         let servers = state.servers.into_iter().filter_map(|server| self.server_snapshot(server)).collect();
         self.step_balancer(Input::Restore(Snapshot { session_load: state.session_load, servers }), out);
@@ -200,31 +194,6 @@
         })
     }
 
-    /// Forwards a list of discovery to the successor, whose own watch may not be open.
-    pub(super) fn send_list_to_successor(&mut self, list: &List, out: &mut Vec<Effect>) {
-        if self.ownership.successor().is_some() {
-            let list = list::encode(list.generation, list.is_complete, list.instances.iter());
-            self.apply_ownership_event(OwnershipEvent::ListReceived { list }, out);
-        }
-    }
-
-    /// Handles a list that discovery sent the predecessor. A list that is not newer than this process's own
-    /// is ignored. Once discovery has answered this process, only the drains and removals of the list are
-    /// used.
-    fn receive_predecessor_list(&mut self, list: &serde_json::Value, out: &mut Vec<Effect>) {
-        let Ok(mut list) = list::parse(list.to_string().as_bytes()) else { return };
-        if self.list_version.is_some_and(|own| own >= list.generation) {
-            return;
-        }
-        if self.last_discovery_answer_at.is_some() {
-            list.instances.retain(|instance| instance.phase != Phase::Ready);
-            list.is_complete = false;
-        }
-        self.persist_list(&list, out);
-        self.send_list_to_successor(&list, out);
-        self.apply_list(list, out);
-    }
-
     /// Reports to the successor what remains in this process, if that has changed.
     pub(super) fn report_remaining(&mut self, out: &mut Vec<Effect>) {
         if self.ownership.is_owner() {
--- a/relay/src/reducer/mod.rs
+++ b/relay/src/reducer/mod.rs
@@ -34,6 +34,7 @@
 mod outcome_counts;
 mod peer_list;
 mod persistence;
+mod process_list;
 mod restart_detection;
 mod rollout;
 mod server;
@@ -67,24 +68,13 @@
 use server::{LatencyReport, Server};
 use session::{Session, SessionStage};
 use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
+use watch::{EndpointWatch, ListVersion};
 
 /// Appends a line for the log.
 fn log(message: impl Into<String>, out: &mut Vec<Effect>) {
     out.push(Effect::Log { message: message.into() });
 }
 
-/// The watches on the endpoint list: the latest one, and an earlier one that may still deliver lists.
-#[derive(Default)]
-struct EndpointWatch {
-    /// The number of the latest watch.
-    latest: u32,
-    /// Whether the latest watch is open.
-    is_open: bool,
-    /// The watch whose lists are applied: the latest one once it has delivered a list, an earlier one until
-    /// then.
-    delivering: Option<u32>,
-}
-
 /// The state of one relay.
 pub struct Reducer {
     /// The configuration in force.
@@ -100,9 +90,8 @@
     ids: BTreeMap<String, ServerId>,
     /// Servers to which nothing new may be sent, as the tasks were last notified.
     draining: BTreeSet<ServerId>,
-    /// The version of the last endpoint list received; `None` while a new discovery address has not answered
-    /// yet.
-    list_version: Option<u64>,
+    /// The version of the known endpoint list.
+    list_version: ListVersion,
     watch: EndpointWatch,
     /// Clients' connections that are not sessions, the least recently active one first.
     idle_connections: VecDeque<IdleConnection>,
@@ -168,6 +157,7 @@
             peer_knew_discovery: false,
             removed_servers: BTreeMap::new(),
             connect_failures: ConnectFailureStreak::default(),
+            list_version: ListVersion { source: node.discovery, generation: 0 },
             node,
             now: 0,
             sessions: BTreeMap::new(),
@@ -175,7 +165,6 @@
             servers: BTreeMap::new(),
             ids: BTreeMap::new(),
             draining: BTreeSet::new(),
-            list_version: None,
             watch: EndpointWatch::default(),
             idle_connections: VecDeque::new(),
             pending_pings: Vec::new(),
@@ -200,7 +189,7 @@
         let recovered = stored.map(|stored| self.recover_state(now, &stored, out)).unwrap_or_default();
         let stored_list = (!recovered.list.instances.is_empty()).then(|| recovered.list.clone());
         let initial_list = stored_list.unwrap_or(List { is_complete: true, ..self.node.known.clone() });
-        self.list_version = Some(initial_list.generation);
+        self.list_version.generation = initial_list.generation;
         // Each start has a higher number than the one before: the Unix time, or if the store has a start
         // number that is not below the time, the next number after that one.
         let start_number = now.max(recovered.min_start_number);
--- a/relay/src/reducer/peer_list.rs
+++ b/relay/src/reducer/peer_list.rs
@@ -47,24 +47,24 @@
         self.step_membership(MembershipEvent::PollEndpointList, out);
     }
 
-    /// The complete endpoint list in discovery's format; `None` before any version is known.
-    pub(super) fn encoded_list(&self) -> Option<Value> {
+    /// The complete endpoint list in discovery's format.
+    pub(super) fn encoded_list(&self) -> Value {
         let listed = self
             .servers
             .values()
             .map(|server| &server.instance)
             .filter(|instance| instance.phase != Phase::Gone);
-        self.list_version.map(|generation| list::encode(generation, true, listed))
+        list::encode(self.list_version.generation, true, listed)
     }
 
     /// Answers another relay's poll for the list.
     pub(super) fn send_list_to_peer(&mut self, stream: u64, out: &mut Vec<Effect>) {
-        let answer = self.encoded_list().map(|list| PeerList {
-            source: self.node.discovery.to_string(),
+        let answer = PeerList {
+            source: self.list_version.source.to_string(),
             age_ms: self.last_discovery_answer_at.map(|at| self.now.saturating_sub(at) / 1000),
-            list,
-        });
-        let bytes = answer.and_then(|answer| serde_json::to_vec(&answer).ok());
+            list: self.encoded_list(),
+        };
+        let bytes = serde_json::to_vec(&answer).ok();
         self.step_membership(MembershipEvent::EndpointListReply { stream, bytes }, out);
     }
 
@@ -87,8 +87,11 @@
         let message = format!("accepted {count} servers from relay {name}, since discovery is unavailable");
         log(message, out);
         // The version stays the same, so that discovery sends all changes after it.
-        let generation = self.list_version.unwrap_or(0);
-        self.apply_list(List { generation, instances: accepted, ..List::default() }, out);
+        let generation = self.list_version.generation;
+        let list = List { generation, instances: accepted, ..List::default() };
+        self.persist_list(&list, out);
+        self.send_list_to_successor(&list, out);
+        self.apply_list(list, out);
     }
 
     /// The entry of one server that is accepted from a peer; `None` if it is ignored or changes nothing.
--- a/relay/src/reducer/persistence.rs
+++ b/relay/src/reducer/persistence.rs
@@ -89,8 +89,8 @@
         }
     }
 
-    /// Stores the changes that a list of discovery makes, before the list is applied: servers that differ
-    /// from the known ones, and those that a complete list leaves out.
+    /// Stores the changes that a list makes, before the list is applied: servers that differ from the known
+    /// ones, and those that a complete list leaves out. `list_version` must already be the list's.
     pub(super) fn persist_list(&mut self, list: &List, out: &mut Vec<Effect>) {
         if self.node.state.is_none() {
             return;
@@ -102,11 +102,11 @@
         for instance in &changed {
             self.persist(Record::server(list.generation, self.now, instance), out);
         }
-        let version = Record::list_version(&self.node.discovery.to_string(), list.generation);
+        let version = Record::list_version(&self.list_version.source.to_string(), list.generation);
         self.persist(version, out);
     }
 
-    fn known_instance(&self, id: &str) -> Option<&Instance> {
+    pub(super) fn known_instance(&self, id: &str) -> Option<&Instance> {
         self.servers.get(self.ids.get(id)?).map(|server| &server.instance)
     }
 
--- /dev/null
+++ b/relay/src/reducer/process_list.rs
@@ -0,0 +1,115 @@
+//! The endpoint list between the two processes of a hot restart. Both are one relay: what discovery or other
+//! relays have told one of them holds for the other.
+use super::watch::ListVersion;
+use super::{Effect, Reducer};
+use hallrelay_balancer::types::Phase;
+use hallrelay_config::list::{self, Instance, List};
+use hallrelay_hot_restart::{ListExtension, OwnershipEvent, RemovedServer};
+use serde_json::Value;
+use std::net::SocketAddr;
+
+/// A list of the other process.
+struct ProcessList {
+    list: List,
+    source: SocketAddr,
+    removed: Vec<RemovedServer>,
+}
+
+impl Reducer {
+    /// Adds to an encoded list of this process what the other process has to know about it.
+    pub(super) fn list_for_process(&self, mut list: Value) -> Value {
+        let removed = self
+            .removed_servers
+            .iter()
+            .map(|(name, &started_at)| RemovedServer { name: name.clone(), started_at });
+        let source = Some(self.list_version.source.to_string());
+        ListExtension { source, removed: removed.collect() }.attach(&mut list);
+        list
+    }
+
+    /// Forwards a list to the successor, whose own watch may not be open.
+    pub(super) fn send_list_to_successor(&mut self, list: &List, out: &mut Vec<Effect>) {
+        if self.ownership.successor().is_some() {
+            let list = list::encode(list.generation, list.is_complete, list.instances.iter());
+            let list = self.list_for_process(list);
+            self.apply_ownership_event(OwnershipEvent::ListReceived { list }, out);
+        }
+    }
+
+    /// Parses a list of the other process; `None` if it cannot be parsed. An earlier build does not name the
+    /// source, which then is this process's own.
+    fn parse_process_list(&self, value: &Value) -> Option<ProcessList> {
+        let list = list::parse(value.to_string().as_bytes()).ok()?;
+        let extension = ListExtension::of(value);
+        let source = extension.source.and_then(|source| source.parse().ok());
+        let source = source.unwrap_or(self.node.discovery);
+        Some(ProcessList { list, source, removed: extension.removed })
+    }
+
+    /// Adopts the list that the predecessor hands over. While discovery has not answered this process, it
+    /// replaces the configured list unless that is a later version from the same source. Afterwards only a
+    /// later version from the same source replaces this process's own list.
+    pub(super) fn adopt_predecessor_list(&mut self, list: &Value, out: &mut Vec<Effect>) {
+        let Some(ProcessList { list, source, removed }) = self.parse_process_list(list) else { return };
+        let own = self.list_version.at(source);
+        let is_answered = self.last_discovery_answer_at.is_some();
+        if !is_answered {
+            let removed = removed.into_iter().map(|server| (server.name, server.started_at));
+            self.removed_servers.extend(removed);
+        }
+        let replaces = match own {
+            Some(own) if is_answered => own < list.generation,
+            Some(own) => own <= list.generation,
+            None => !is_answered,
+        };
+        if replaces {
+            self.list_version = ListVersion { source, generation: list.generation };
+            let list = List { is_complete: true, ..list };
+            self.record_removed_servers(&list);
+            self.apply_list(list, out);
+        } else if own == Some(list.generation) {
+            self.apply_drains(list, out);
+        }
+    }
+
+    /// Handles a list that the other process received. One that is older than this process's own is ignored.
+    /// Once discovery has answered this process, only the drains and removals of the list are used, as this
+    /// process's own watch brings the rest.
+    pub(super) fn receive_process_list(&mut self, list: &Value, out: &mut Vec<Effect>) {
+        let Some(ProcessList { list, source, .. }) = self.parse_process_list(list) else { return };
+        let own = self.list_version.at(source);
+        if own.is_some_and(|own| own > list.generation) {
+            return;
+        }
+        if self.last_discovery_answer_at.is_some() || own == Some(list.generation) {
+            return self.apply_drains(list, out);
+        }
+        self.list_version = ListVersion { source, generation: list.generation };
+        self.record_removed_servers(&list);
+        self.persist_list(&list, out);
+        self.send_list_to_successor(&list, out);
+        self.apply_list(list, out);
+    }
+
+    /// Applies the drains and removals of a list, except for servers that have started again since.
+    fn apply_drains(&mut self, list: List, out: &mut Vec<Effect>) {
+        let instances: Vec<Instance> =
+            list.instances.into_iter().filter(|instance| self.ends_new_sessions(instance)).collect();
+        if instances.is_empty() {
+            return;
+        }
+        let generation = self.list_version.generation;
+        let drains = List { generation, instances, ..List::default() };
+        self.record_removed_servers(&drains);
+        self.persist_list(&drains, out);
+        self.send_list_to_successor(&drains, out);
+        self.apply_list(drains, out);
+    }
+
+    /// Whether an entry drains or removes a server that is ready according to this process's own list.
+    fn ends_new_sessions(&self, entry: &Instance) -> bool {
+        let is_same_start =
+            |known: &Instance| known.phase == Phase::Ready && known.started_at <= entry.started_at;
+        entry.phase != Phase::Ready && self.known_instance(&entry.id).is_some_and(is_same_start)
+    }
+}
--- a/relay/src/reducer/servers.rs
+++ b/relay/src/reducer/servers.rs
@@ -47,24 +47,31 @@
         }
     }
 
+    /// Replaces the entries of a list that cannot be parsed by drains of their servers: such an entry may mean
+    /// that the server drains, so it gets no new sessions. With a complete list that happens anyway, since the
+    /// entry is missing.
+    pub(super) fn drain_unreadable_entries(&self, mut list: List, out: &mut Vec<Effect>) -> List {
+        let unreadable = std::mem::take(&mut list.unreadable);
+        if unreadable.is_empty() {
+            return list;
+        }
+        log(format!("{} entries of the endpoint list can't be parsed", unreadable.len()), out);
+        if !list.is_complete {
+            let known = unreadable.iter().flatten().filter_map(|id| self.known_instance(id));
+            let ready = known.filter(|known| known.phase == Phase::Ready);
+            list.instances.extend(ready.map(|known| Instance { phase: Phase::Draining, ..known.clone() }));
+        }
+        list
+    }
+
     /// Applies a list or changes to it. The tasks are notified before the balancer decides anything.
     pub(super) fn apply_list(&mut self, list: List, out: &mut Vec<Effect>) {
         if list.is_complete {
             self.servers.values_mut().for_each(|server| server.instance.phase = Phase::Gone);
         }
         let update = if list.is_complete { ListUpdate::Snapshot } else { ListUpdate::Delta };
-        let mut instances = list.instances;
-        if !list.unreadable.is_empty() {
-            log(format!("{} entries of the endpoint list can't be parsed", list.unreadable.len()), out);
-            // Such an entry may mean that the server drains, so it gets no new sessions. With a complete list
-            // that happens anyway, since the entry is missing.
-            let unreadable =
-                list.unreadable.iter().flatten().filter_map(|id| self.servers.get(self.ids.get(id)?));
-            let ready = unreadable.map(|server| &server.instance).filter(|known| known.phase == Phase::Ready);
-            instances.extend(ready.map(|known| Instance { phase: Phase::Draining, ..known.clone() }));
-        }
         let endpoints: Vec<Endpoint> =
-            instances.into_iter().map(|instance| self.endpoint(instance, update)).collect();
+            list.instances.into_iter().map(|instance| self.endpoint(instance, update)).collect();
         self.announce_draining(update, &endpoints, out);
         self.step_balancer(Input::EndpointList { update, endpoints }, out);
         self.drop_removed_servers(out);
--- a/relay/src/reducer/watch.rs
+++ b/relay/src/reducer/watch.rs
@@ -1,5 +1,5 @@
 //! The watch on the endpoint list: opens it, reopens it after failures, and moves it to a new discovery
-//! address.
+//! address. The list from the old address, with its drains, is kept until the new one has answered.
 use super::{log, Effect, Reducer, Timer};
 use hallrelay_balancer::types::{Input, ListUpdate};
 use hallrelay_config::list::List;
@@ -7,13 +7,56 @@
 use hallrelay_membership::Event as MembershipEvent;
 use std::net::SocketAddr;
 
+/// A version of the endpoint list, and the discovery service that gave it. Versions of different services
+/// cannot be compared.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct ListVersion {
+    pub source: SocketAddr,
+    pub generation: u64,
+}
+
+impl ListVersion {
+    /// The version as it is known at this discovery service; `None` if another one gave it.
+    pub fn at(&self, source: SocketAddr) -> Option<u64> {
+        (self.source == source).then_some(self.generation)
+    }
+}
+
+/// A watch whose lists are applied, and the discovery service that it is open at.
+#[derive(Clone, Copy)]
+pub(super) struct DeliveringWatch {
+    pub watch: u32,
+    pub source: SocketAddr,
+}
+
+/// The watches on the endpoint list: the latest one, and an earlier one that may still deliver lists.
+#[derive(Default)]
+pub(super) struct EndpointWatch {
+    /// The number of the latest watch.
+    pub latest: u32,
+    /// Whether the latest watch is open.
+    pub is_open: bool,
+    /// Whether the watch has to begin with the complete list, since discovery has moved.
+    pub needs_complete_list: bool,
+    /// The watch whose lists are applied: the latest one once it has delivered a list, an earlier one until
+    /// then.
+    pub delivering: Option<DeliveringWatch>,
+}
+
+impl EndpointWatch {
+    fn is_delivering(&self, watch: u32) -> bool {
+        self.delivering.is_some_and(|delivering| delivering.watch == watch)
+    }
+}
+
 impl Reducer {
     /// Opens a watch, unless one is open.
     pub(super) fn watch_endpoints(&mut self, out: &mut Vec<Effect>) {
         if !self.watch.is_open {
             (self.watch.latest, self.watch.is_open) = (self.watch.latest + 1, true);
-            let watch = self.watch.latest;
-            out.push(Effect::WatchEndpoints { watch, addr: self.node.discovery, since: self.list_version });
+            let (watch, addr) = (self.watch.latest, self.node.discovery);
+            let since = self.list_version.at(addr).filter(|_| !self.watch.needs_complete_list);
+            out.push(Effect::WatchEndpoints { watch, addr, since });
         }
     }
 
@@ -21,28 +64,36 @@
     /// delivers its first one.
     pub(super) fn list_received(&mut self, watch: u32, list: List, out: &mut Vec<Effect>) {
         let state = &mut self.watch;
+        let source = match state.delivering {
+            _ if watch == state.latest => self.node.discovery,
+            Some(delivering) if delivering.watch == watch => delivering.source,
+            _ => return,
+        };
+        // Changes may arrive out of order. A change that is older than the current list is dropped.
+        if !list.is_complete && self.list_version.at(source).is_some_and(|known| list.generation < known) {
+            let version = list.generation;
+            return log(format!("dropped a list change of version {version}, older than the list"), out);
+        }
         if watch == state.latest {
-            // Changes may arrive out of order. A change that is older than the current list is dropped.
-            if !list.is_complete && self.list_version.is_some_and(|current| list.generation < current) {
-                let version = list.generation;
-                return log(format!("dropped a list change of version {version}, older than the list"), out);
-            }
-            self.list_version = Some(list.generation);
-            let before = state.delivering.replace(watch).filter(|before| *before != watch);
-            out.extend(before.map(|watch| Effect::StopWatch { watch }));
-        } else if state.delivering != Some(watch) {
-            return;
+            state.needs_complete_list = false;
+            let before = state.delivering.replace(DeliveringWatch { watch, source });
+            let before = before.filter(|before| before.watch != watch);
+            out.extend(before.map(|before| Effect::StopWatch { watch: before.watch }));
         }
+        self.list_version = ListVersion { source, generation: list.generation };
         self.previous_discovery_answer_at = self.last_discovery_answer_at.replace(self.now);
         self.record_removed_servers(&list);
         self.persist_list(&list, out);
         self.send_list_to_successor(&list, out);
+        let list = self.drain_unreadable_entries(list, out);
         self.apply_list(list, out);
     }
 
     pub(super) fn watch_failed(&mut self, watch: u32, out: &mut Vec<Effect>) {
         out.push(Effect::StopWatch { watch });
-        self.watch.delivering = self.watch.delivering.filter(|before| *before != watch);
+        if self.watch.is_delivering(watch) {
+            self.watch.delivering = None;
+        }
         if watch != self.watch.latest || !std::mem::take(&mut self.watch.is_open) {
             return;
         }
@@ -103,17 +154,20 @@
     /// Moves the watch to another discovery address. The complete list is requested, since the versions of
     /// the old one may have no meaning there. The old watch stays open until the new one delivers.
     fn move_discovery(&mut self, discovery: SocketAddr, out: &mut Vec<Effect>) {
-        if std::mem::replace(&mut self.node.discovery, discovery) == discovery {
+        let source = std::mem::replace(&mut self.node.discovery, discovery);
+        if source == discovery {
             return;
         }
         let state = &mut self.watch;
         if std::mem::take(&mut state.is_open) {
             match state.delivering {
-                Some(before) if before != state.latest => out.push(Effect::StopWatch { watch: state.latest }),
-                _ => state.delivering = Some(state.latest),
+                Some(before) if before.watch != state.latest => {
+                    out.push(Effect::StopWatch { watch: state.latest });
+                }
+                _ => state.delivering = Some(DeliveringWatch { watch: state.latest, source }),
             }
         }
-        self.list_version = None;
+        state.needs_complete_list = true;
         self.watch_endpoints(out);
     }
 
@@ -122,7 +176,8 @@
         if !self.sessions.values().any(|session| session.stage.awaits_answer())
             && std::mem::take(&mut self.watch.is_open)
         {
-            let watches = [Some(self.watch.latest), self.watch.delivering.take()];
+            let delivering = self.watch.delivering.take().map(|delivering| delivering.watch);
+            let watches = [Some(self.watch.latest), delivering];
             out.extend(watches.into_iter().flatten().map(|watch| Effect::StopWatch { watch }));
         }
     }
--- /dev/null
+++ b/relay/tests/told_drains.rs
@@ -0,0 +1,128 @@
+//! A backend that a relay was told to drain gets no new session, however the next process of the relay begins:
+//! cold, by a hot restart, by a hot restart that fails, or after discovery has moved. Discovery answers no
+//! further call in these tests, so that only what the earlier process was told can keep the drain.
+mod common;
+
+use common::discovery::{endpoint, Discovery};
+use common::{
+    free_address, listener_settings, wait_until, Client, CountingBackend, RelayConfig, RelayProcess,
+};
+use serde_json::{json, Value};
+
+/// Number of sessions by which a test sees whether a backend gets any.
+const SESSIONS: usize = 20;
+
+/// A relay's configuration, whose list is from before the drain of `s-0`.
+struct Fixture {
+    config: RelayConfig,
+    backends: [CountingBackend; 2],
+    discovery: Discovery,
+}
+
+impl Fixture {
+    fn new(name: &str) -> Fixture {
+        let mut config = RelayConfig::new(&format!("told-{name}"));
+        let backends = [CountingBackend::start(), CountingBackend::start()];
+        let up = vec![endpoint("s-0", &backends[0], "up", 0), endpoint("s-1", &backends[1], "up", 0)];
+        let discovery = Discovery::start(up.clone());
+        config.json["discovery"] = json!(discovery.address.to_string());
+        config.json["known"] = json!({"generation": 1, "reset": true, "instances": up});
+        config.json["settings"]["Listeners"] = json!([listener_settings("low", 1.0, "retryable")]);
+        config.json["settings"]["Listeners"][0]["DialTimeout"] = json!(300);
+        Fixture { config, backends, discovery }
+    }
+
+    fn with_store(name: &str) -> Fixture {
+        let mut fixture = Fixture::new(name);
+        fixture.add_store();
+        fixture
+    }
+
+    fn add_store(&mut self) {
+        self.config.json["state"] = json!(self.config.directory.join("state").display().to_string());
+    }
+
+    fn start(&mut self) -> RelayProcess {
+        let relay = self.config.start();
+        relay.wait_until_ready();
+        relay
+    }
+
+    /// Number of sessions that a batch of new sessions brings to the drained backend.
+    fn sessions_at_drained(&self) -> u64 {
+        let before = self.backends.each_ref().map(CountingBackend::opened);
+        let established =
+            (0..SESSIONS).filter(|_| Client::open(self.config.listen_address, "low").is_ok()).count();
+        assert_eq!(established, SESSIONS, "all sessions must be established");
+        assert!(self.backends[1].opened() > before[1], "the backend that stays must get sessions");
+        self.backends[0].opened() - before[0]
+    }
+
+    /// Entries by which `s-0` drains.
+    fn drained(&self) -> Vec<Value> {
+        let [first, second] = &self.backends;
+        vec![endpoint("s-0", first, "draining", 0), endpoint("s-1", second, "up", 0)]
+    }
+
+    /// Publishes entries that end new sessions at `s-0`, waits until the relay heeds them, and stops discovery.
+    fn tell(&self, entries: Vec<Value>) {
+        self.discovery.publish(entries);
+        wait_until("the relay heeds the drain", || self.sessions_at_drained() == 0);
+        self.discovery.stop_answering();
+    }
+
+    /// Moves a running process to an address at which no discovery service answers.
+    fn move_discovery(&mut self, relay: &RelayProcess) {
+        self.config.json["discovery"] = json!(free_address().to_string());
+        std::fs::write(&relay.config_path, self.config.json.to_string()).expect("write the configuration");
+        relay.signal("HUP");
+        wait_until("the file is loaded", || relay.metric("loads") == Some(1));
+    }
+
+    fn assert_drain_holds(&self, begin: &str) {
+        assert_eq!(self.sessions_at_drained(), 0, "the drained backend must get no session after {begin}");
+    }
+}
+
+fn kill(mut relay: RelayProcess) {
+    relay.child.kill().expect("kill the relay process");
+    relay.child.wait().expect("wait for the relay process");
+}
+
+/// Guards a drain against a hot restart while discovery does not answer.
+#[test]
+fn drain_outlasts_hot_restart() {
+    let mut fixture = Fixture::new("hot-restart");
+    let old = fixture.start();
+    fixture.tell(fixture.drained());
+    let new = fixture.start();
+    fixture.assert_drain_holds("the hot restart");
+    drop((old, new));
+}
+
+/// Guards a drain against a hot restart after discovery moved to an address that has not answered yet: the
+/// list was not handed over then.
+#[test]
+fn drain_outlasts_hot_restart_after_move_of_discovery() {
+    let mut fixture = Fixture::new("moved-hot-restart");
+    let old = fixture.start();
+    fixture.tell(fixture.drained());
+    fixture.move_discovery(&old);
+    fixture.assert_drain_holds("the move");
+    let new = fixture.start();
+    fixture.assert_drain_holds("the hot restart");
+    drop((old, new));
+}
+
+/// Guards a drain against a restart after discovery moved, with discovery's new address in the configuration.
+#[test]
+fn drain_outlasts_kill_after_move_of_discovery() {
+    let mut fixture = Fixture::with_store("moved-kill");
+    let old = fixture.start();
+    fixture.tell(fixture.drained());
+    fixture.move_discovery(&old);
+    kill(old);
+    let new = fixture.start();
+    fixture.assert_drain_holds("the restart");
+    drop(new);
+}
