An unreadable entry of the endpoint list shuts its backend across restarts

Callers saw: sessions on a backend whose latest entry in the list could not be parsed (it may drain), after the next start of the relay without discovery.

Cause: the entry became a drain in `apply_list`, after `persist_list` had stored the list without it, with the new version; discovery is then asked only for later changes.

Change: `drain_unreadable_entries` runs where a list arrives, so the drain is stored, handed over and forwarded.

Result: unreadable_entry_outlasts_kill failed before and passes; tests/relay/list-unreadable-entry.txt holds.

--- a/relay/src/reducer/watch.rs
+++ b/relay/src/reducer/watch.rs
@@ -82,10 +82,10 @@
         }
         self.list_version = ListVersion { source, generation: list.generation };
         self.previous_discovery_answer_at = self.last_discovery_answer_at.replace(self.now);
+        let list = self.drain_unreadable_entries(list, out);
         self.record_removed_servers(&list);
         self.persist_list(&list, out);
         self.send_list_to_successor(&list, out);
-        let list = self.drain_unreadable_entries(list, out);
         self.apply_list(list, out);
     }
 
--- a/relay/tests/told_drains.rs
+++ b/relay/tests/told_drains.rs
@@ -126,3 +126,20 @@
     fixture.assert_drain_holds("the restart");
     drop(new);
 }
+
+/// Guards an entry that cannot be read, which ends new sessions at its backend, against a restart: the store
+/// kept the older entry with the newer version.
+#[test]
+fn unreadable_entry_outlasts_kill() {
+    let mut fixture = Fixture::with_store("unreadable");
+    let old = fixture.start();
+    let mut entries = fixture.drained();
+    entries[0]["lifecycle"] = json!(7);
+    fixture.tell(entries);
+    // The store is written within some milliseconds of the list.
+    std::thread::sleep(std::time::Duration::from_millis(200));
+    kill(old);
+    let new = fixture.start();
+    fixture.assert_drain_holds("the restart");
+    drop(new);
+}
