A process that opens the store after another one uses and completes it

Callers saw: sessions on drained backends after the next start of a relay whose store was created, or last written, beside a hot restart.

A store without a name is this relay's. Only removals expire. A foreign store is cleared before the voter writes.

--- a/recovery/src/recover.rs
+++ b/recovery/src/recover.rs
@@ -5,7 +5,7 @@
 use hallrelay_balancer::types::{Micros, Phase};
 use hallrelay_config::list::{Instance, List};
 
-/// Longest age of a server's record. By then a removed server is missing from every list.
+/// Longest age of a removed server's record. By then a removed server is missing from every list.
 const SERVER_MAX_AGE: Micros = 7 * 86_400_000_000;
 
 /// A slot at a server in slow start that this relay has already used.
@@ -72,14 +72,14 @@
 
 /// Determines the state with which a relay starts.
 ///
-/// A store of another relay is not used. Of two lists from the same source, the later version takes
+/// A store of another relay is not used; one without a name was created by a hot restart of this relay. Of two lists from the same source, the later version takes
 /// precedence. Versions of different sources cannot be compared, so that the configured list takes precedence
 /// over a stored one of another source. A server that was draining or removed keeps that state until a later
 /// version from the same source changes it or the server has restarted.
 pub fn recover(input: &RecoverInput) -> Recovered {
     let list = List { is_complete: true, ..input.configured.clone() };
     let recovery = Recovery { input, recovered: Recovered { list, ..Recovered::default() } };
-    if input.stored.relay_name.as_deref() != Some(input.relay_name) {
+    if input.stored.relay_name.as_deref().is_some_and(|owner| owner != input.relay_name) {
         return recovery.discard_foreign_store();
     }
     recovery.recover_own_store()
@@ -91,8 +91,7 @@
 }
 
 impl<'a> Recovery<'a> {
-    /// Discards the records of a store that is new or belongs to another relay, so that no later start uses
-    /// them.
+    /// Discards the records of a store that belongs to another relay, so that no later start uses them.
     fn discard_foreign_store(mut self) -> Recovered {
         let stored = self.input.stored;
         if let Some(owner) = &stored.relay_name {
@@ -184,8 +183,11 @@
         (!is_too_old).then_some(age)
     }
 
+    /// Whether a server's record is used. A removal is dropped at its longest age. Other records are not:
+    /// discovery sends only changes since the stored version, so it does not repeat an old entry or drain.
     fn is_server_trusted(&self, server: &StoredServer) -> bool {
-        self.trusted_age(RecordKind::Server, server.written_at).is_some()
+        server.instance.phase != Phase::Gone
+            || self.trusted_age(RecordKind::Server, server.written_at).is_some()
     }
 
     fn discard_old_removals(&mut self) {
@@ -223,16 +225,16 @@
     }
 
     /// Applies the stored draining or removed state to servers of the list. A state does not apply if the
-    /// list is a later version from the same source, or if the server has restarted since.
+    /// list is a later version from the same source than the stored list, in which the state still held, or if
+    /// the server has restarted since.
     fn apply_stored_phases(&mut self, servers: &[&StoredServer]) {
-        let is_same_source = self.stored_generation().is_some();
         let generation = self.recovered.list.generation;
+        let is_superseded = self.stored_generation().is_some_and(|stored| generation > stored);
         let mut changed = 0;
         for instance in &mut self.recovered.list.instances {
             let is_stored =
                 |s: &&&StoredServer| s.instance.id == instance.id && s.instance.phase != Phase::Ready;
             let Some(stored) = servers.iter().find(is_stored) else { continue };
-            let is_superseded = is_same_source && generation > stored.generation;
             let has_restarted = instance.started_at > stored.instance.started_at;
             if instance.phase == Phase::Ready && !is_superseded && !has_restarted {
                 instance.phase = stored.instance.phase;
--- a/recovery/tests/recover.rs
+++ b/recovery/tests/recover.rs
@@ -180,6 +180,37 @@
     assert_eq!(phase(&recovered(&known, &[identity(), gone(NOW + week)])), Some(Phase::Gone));
 }
 
+/// Guards a drain of over a week ago against a configuration of another source: discovery does not repeat an
+/// entry that has not changed.
+#[test]
+fn old_drain_is_kept() {
+    let week = 7 * 86_400 * SECOND;
+    let drained = Record::server(9, NOW - 2 * week, &server("s", Phase::Draining, 100));
+    let known = list(7, vec![server("s", Phase::Ready, 100)]);
+    for source in [DISCOVERY, "10.0.0.2:1"] {
+        let r = recovered(&known, &[identity(), Record::list_version(source, 20), drained.clone()]);
+        assert_eq!(phase(&r), Some(Phase::Draining), "{source}");
+    }
+}
+
+/// Guards a drain in a store that a hot restart created, which has no name: it belongs to this relay.
+#[test]
+fn store_without_name_is_used() {
+    let known = list(7, vec![server("s", Phase::Ready, 100)]);
+    let r = recovered(&known, &[Record::list_version(DISCOVERY, 9), server_record(9, Phase::Draining, 100)]);
+    assert_eq!((r.list.generation, phase(&r)), (9, Some(Phase::Draining)));
+    assert_eq!(r.obsolete, []);
+}
+
+/// Guards a drain that came with no new version (of another relay, or of an entry that cannot be read) against
+/// a configured list of the same version as the stored one.
+#[test]
+fn stored_drain_holds_against_configured_list_of_same_version() {
+    let known = list(9, vec![server("s", Phase::Ready, 100)]);
+    let records = [identity(), Record::list_version(DISCOVERY, 9), server_record(8, Phase::Draining, 100)];
+    assert_eq!(phase(&recovered(&known, &records)), Some(Phase::Draining));
+}
+
 #[test]
 fn recovery_phases_follow_servers_and_list_sources() {
     let input = |servers, servers_in_slow_start, discovery_contacted, list_from_peer| PhaseInput {
--- a/relay/src/reducer/events.rs
+++ b/relay/src/reducer/events.rs
@@ -252,6 +252,8 @@
     LeaderReview,
     /// The next proposal of an operator's pending request is due, by the number of the call.
     PendingRequest(u32),
+    /// The store, which another process has written, was not opened in time.
+    StoreOpenTimeout,
     /// A failed watch on the endpoint list is to be reopened, if the balancer does not request that itself.
     RequestEndpointList,
     /// The next poll of other relays for the endpoint list is due, while discovery is unavailable.
--- a/relay/src/reducer/listener_ownership.rs
+++ b/relay/src/reducer/listener_ownership.rs
@@ -64,9 +64,7 @@
                     "the predecessor exited before the handover: this process takes over without its state",
                     out,
                 );
-                self.apply_lifecycle_event(LifecycleEvent::TakeOver, out);
-                self.acquire_store_and_membership(out);
-                out.push(Effect::SetTakeoverListener { open: true });
+                self.serve_after_store(LifecycleEvent::TakeOver, out);
             }
             OwnershipAction::Abort { reason } => out.push(Effect::Abort { reason }),
             OwnershipAction::PredecessorRemaining { connections, sessions } => {
@@ -81,9 +79,10 @@
     }
 
     /// Makes this process the one that owns the store and takes part in membership.
-    fn acquire_store_and_membership(&mut self, out: &mut Vec<Effect>) {
+    pub(super) fn acquire_store_and_membership(&mut self, out: &mut Vec<Effect>) {
         out.push(Effect::SetStoreOwnership { owned: true });
         self.step_membership(MembershipEvent::Activate, out);
+        self.start_polling_peers(out);
     }
 
     /// Hands over to the successor in one step: from now on the successor accepts connections, and has the
@@ -108,9 +107,7 @@
 
     fn resume_ownership(&mut self, out: &mut Vec<Effect>) {
         log("the successor exited: this process accepts connections again", out);
-        self.apply_lifecycle_event(LifecycleEvent::SuccessorExited, out);
-        self.acquire_store_and_membership(out);
-        out.push(Effect::SetTakeoverListener { open: true });
+        self.serve_after_store(LifecycleEvent::SuccessorExited, out);
     }
 
     /// The state that the successor gets.
--- a/relay/src/reducer/mod.rs
+++ b/relay/src/reducer/mod.rs
@@ -42,6 +42,7 @@
 mod session;
 mod session_handover;
 mod sessions;
+mod store_takeover;
 mod voter;
 mod voter_host;
 mod watch;
@@ -109,6 +110,10 @@
     membership: Option<Membership>,
     /// The state read from the store, until the start has used it.
     stored: Option<Box<StoredState>>,
+    /// The number of this start of the relay, which is higher than that of each earlier one.
+    start_number: u64,
+    /// What is to happen once the store is open, which the other process has written.
+    pending_service: Option<LifecycleEvent>,
     /// The health of writes to the store; `None` until the first report.
     store_health: Option<Box<WriterHealth>>,
     /// Disruptions coordinated across the fleet; `None` if no voters are configured.
@@ -148,6 +153,8 @@
             metrics: Metrics::with_listeners(&node.site.listeners),
             membership: None,
             stored: None,
+            start_number: 0,
+            pending_service: None,
             store_health: None,
             coordination: None,
             reported_counts: SessionCounts::default(),
@@ -184,20 +191,23 @@
         self.now = now;
         self.coordination = self.configured_coordination();
         let stored = self.stored.take();
+        let configured = List { is_complete: true, ..self.node.known.clone() };
+        // The records of another relay's store are discarded before the voter writes its own.
+        let recovered = stored.as_ref().map(|stored| self.recover_state(&configured, stored, out));
+        let recovered = recovered.unwrap_or_default();
         self.start_voter(stored.as_deref(), out);
         self.start_review(out);
-        let recovered = stored.map(|stored| self.recover_state(now, &stored, out)).unwrap_or_default();
         let stored_list = (!recovered.list.instances.is_empty()).then(|| recovered.list.clone());
-        let initial_list = stored_list.unwrap_or(List { is_complete: true, ..self.node.known.clone() });
+        let initial_list = stored_list.unwrap_or(configured);
         self.list_version.generation = initial_list.generation;
         // Each start has a higher number than the one before: the Unix time, or if the store has a start
         // number that is not below the time, the next number after that one.
-        let start_number = now.max(recovered.min_start_number);
-        self.membership = membership::new_membership(&self.node, start_number);
+        self.start_number = now.max(recovered.min_start_number);
+        self.membership = membership::new_membership(&self.node, self.start_number);
         self.apply_list(initial_list, out);
         self.restore_slow_start_slots(&recovered, out);
         if self.ownership.awaited_predecessor().is_none() {
-            self.persist_identity(start_number, out);
+            self.persist_identity(out);
             self.start_polling_peers(out);
         }
         // If `must_watch` is set, the balancer requests the watch itself.
@@ -241,7 +251,7 @@
             Event::ConfigurationRejected => self.metrics.reload_errors += 1,
             Event::OperatorCall { call, request } => self.operator_call(call, request, out),
             Event::VoterWritesDurable { voter_start, number } => self.raft_written(voter_start, number, out),
-            Event::StoreReopened(stored) => self.start_voter(Some(&stored), out),
+            Event::StoreReopened(stored) => self.store_reopened(&stored, out),
             Event::SessionHandedOver { session_id } => self.abandon_session(session_id, out),
             Event::SessionHandoverFailed { session_id } => self.session_handover_failed(session_id),
             Event::SessionAdopted { session_id, state } => self.adopt_session(session_id, *state, out),
@@ -271,6 +281,7 @@
             }
             Timer::HandoverProgress => self.report_remaining(out),
             Timer::Membership => self.membership_timer_expired(out),
+            Timer::StoreOpenTimeout => self.begin_service(out),
             Timer::RequestEndpointList => self.watch_endpoints(out),
             Timer::PollPeers => self.poll_peers(out),
             Timer::Voter(timer, round) => self.raft_timer(timer, round, out),
--- a/relay/src/reducer/persistence.rs
+++ b/relay/src/reducer/persistence.rs
@@ -3,9 +3,7 @@
 //! A slot is one dial that this relay may make to a server in slow start, that is, one that is warming up.
 //! The slots are spaced by an interval, so that all relays together do not overload the server.
 use super::{log, Effect, Reducer, Server};
-use hallrelay_balancer::types::{
-    Input, Micros, Phase, ServerId, ServerSnapshot, SessionId, SlotSnapshot, Snapshot,
-};
+use hallrelay_balancer::types::{Input, Phase, ServerId, ServerSnapshot, SessionId, SlotSnapshot, Snapshot};
 use hallrelay_config::list::{Instance, List};
 use hallrelay_recovery::{recover, PhaseInput, Record, RecoverInput, Recovered, RecoveryPhase, StoredState};
 
@@ -15,24 +13,24 @@
         self.stored = Some(Box::new(stored));
     }
 
-    fn persist(&mut self, record: Record, out: &mut Vec<Effect>) {
+    pub(super) fn persist(&mut self, record: Record, out: &mut Vec<Effect>) {
         out.push(Effect::Persist { record, before: None });
     }
 
-    /// Recovers the state with which this process starts from the stored state, and updates the store:
+    /// Combines a list, which has the source of `list_version`, with the stored state, and updates the store:
     /// obsolete records are removed, and servers that are not stored yet are added.
     pub(super) fn recover_state(
         &mut self,
-        now: Micros,
+        list: &List,
         stored: &StoredState,
         out: &mut Vec<Effect>,
     ) -> Recovered {
         let mut recovered = recover(&RecoverInput {
-            now,
+            now: self.now,
             relay_name: &self.node.name,
-            discovery: &self.node.discovery.to_string(),
+            discovery: &self.list_version.source.to_string(),
             slow_start: self.node.site.facts.warm_up,
-            configured: &self.node.known,
+            configured: list,
             stored,
         });
         for message in std::mem::take(&mut recovered.messages) {
@@ -45,12 +43,12 @@
             self.removed_servers.insert(server.name, server.started_at);
         }
         for instance in &recovered.unstored {
-            self.persist(Record::server(recovered.list.generation, now, instance), out);
+            self.persist(Record::server(recovered.list.generation, self.now, instance), out);
         }
         recovered
     }
 
-    /// Marks the slots that were used before the restart as used, at servers in slow start.
+    /// Marks the stored slots as used, at servers in slow start, unless this process has used a later one.
     pub(super) fn restore_slow_start_slots(&mut self, recovered: &Recovered, out: &mut Vec<Effect>) {
         if recovered.slow_start_slots.is_empty() {
             return;
@@ -58,11 +56,14 @@
         let Snapshot { session_load, servers } = self.balancer.snapshot(self.now);
         // Servers without such a slot keep the state that the balancer gave them at its start. No server's
         // load report is restored.
-        let unreported = servers.into_iter().map(|server| ServerSnapshot { report: None, ..server });
+        let unreported =
+            servers.into_iter().map(|server| ServerSnapshot { report: None, recent_sessions: 0.0, ..server });
         let mut servers: Vec<ServerSnapshot> = unreported.collect();
         for slot in &recovered.slow_start_slots {
             let Some(server) = self.ids.get(&slot.server) else { continue };
-            if let Some(known) = servers.iter_mut().find(|known| known.server == *server) {
+            let Some(known) = servers.iter_mut().find(|known| known.server == *server) else { continue };
+            let is_later = known.slot.interval_fraction >= 1.0 && known.slot.age <= slot.age;
+            if !is_later {
                 known.slot = SlotSnapshot { age: slot.age, interval_fraction: 1.0 };
             }
         }
@@ -83,9 +84,9 @@
     }
 
     /// Stores this relay's name and the start number of this process; the next process takes a higher number.
-    pub(super) fn persist_identity(&mut self, start_number: u64, out: &mut Vec<Effect>) {
+    pub(super) fn persist_identity(&mut self, out: &mut Vec<Effect>) {
         if self.node.state.is_some() {
-            self.persist(Record::relay_identity(&self.node.name, start_number, self.now), out);
+            self.persist(Record::relay_identity(&self.node.name, self.start_number, self.now), out);
         }
     }
 
--- a/relay/src/reducer/voter_host.rs
+++ b/relay/src/reducer/voter_host.rs
@@ -1,6 +1,6 @@
 //! Hosts this relay's Raft voter: starts it with the state on disk, applies its effects, and applies
 //! committed commands. A proposal is answered once its command is applied.
-use super::coordination::{Coordination, ExcludedBackends};
+use super::coordination::Coordination;
 use super::servers::server_id;
 use super::voter::Proposer;
 use super::{log, Effect, Reducer, Timer};
@@ -21,16 +21,13 @@
     /// over.
     pub(super) fn start_voter(&mut self, stored: Option<&StoredState>, out: &mut Vec<Effect>) {
         let now = self.now;
-        let Some(coordination) = &mut self.coordination else { return };
-        let own = stored
-            .filter(|stored| stored.relay_name.as_deref().is_none_or(|name| *name == *coordination.own_name));
-        if let Some(stored) = own.filter(|stored| stored.exclusions.log_index >= coordination.excluded.index)
-        {
-            coordination.excluded = ExcludedBackends {
-                index: stored.exclusions.log_index,
-                ids: stored.exclusions.backends.clone(),
-            };
+        let own_name = self.node.name.clone();
+        let own = stored.filter(|stored| stored.relay_name.as_ref().is_none_or(|name| *name == own_name));
+        if let Some(stored) = own {
+            let exclusions = &stored.exclusions;
+            self.exclude_backends(exclusions.log_index, exclusions.backends.clone(), out);
         }
+        let Some(coordination) = &mut self.coordination else { return };
         // Without readable stored state, this relay does not know its earlier votes, so it must not vote.
         if stored.is_none() || !coordination.is_voter() || coordination.voter.is_running() {
             return;
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -15,6 +15,7 @@
 //!   `process NUMBER hello|ready|disconnected`, `process NUMBER take-over [draining_age=MS] [id=ID]`,
 //!   `process NUMBER endpoint-list VERSION NAME[:LIFECYCLE] ..`,
 //!   `endpoint-list snapshot|delta VERSION NAME[:draining|:removed|:up@STARTED_MS] ..`,
+//!   `store-reopened VERSION NAME[:LIFECYCLE] ..` (the store, opened by this process, with this list),
 //!   `endpoint-list watch-failed` (of the newest watch or of `watch=WATCH`),
 //!   `operator-call NUMBER readiness|metrics|drain|activate`, `configuration-reloaded PORT [KEY=VALUE]`
 //!   (discovery is at this port), `tuning-reloaded LISTENER:EFFECT .. [dials=N] [timeout=MS]`,
@@ -40,6 +41,7 @@
 use hallrelay_config::node::{self, Node, Overrides};
 use hallrelay_hot_restart::message::VERSION;
 use hallrelay_hot_restart::{Message, OwnershipEvent, RelayState, SessionState};
+use hallrelay_recovery::{Record, StoredState};
 use hallrelay_relay::lines;
 use hallrelay_relay::reducer::{Effect, Event, OperatorReply, OperatorRequest, Reducer};
 use serde_json::{json, Value};
@@ -284,6 +286,7 @@
                 let (end, report) = parse_probe_end(words, word(2)?)?;
                 Event::HealthCheckEnded { server, end, report }
             }
+            "store-reopened" => Event::StoreReopened(Box::new(stored_state(words)?)),
             "endpoint-list" if word(1)? == "watch-failed" => Event::EndpointWatchFailed { watch },
             "endpoint-list" => {
                 let names = words[3..].iter().filter(|word| !word.contains('='));
@@ -334,6 +337,29 @@
     }
 }
 
+/// The content of a store with an endpoint list, given as `store-reopened VERSION NAME[:LIFECYCLE] ..`.
+fn stored_state(words: &[&str]) -> Result<StoredState, Fault> {
+    let generation = parse_number(words.get(1).ok_or("store-reopened lacks a version")?)?;
+    let instances: Vec<Value> = words[2..]
+        .iter()
+        .map(|word| {
+            let (id, lifecycle) = word.split_once(':').unwrap_or((word, "up"));
+            json!({"instanceId": id, "hostPort": addr_of(id), "lifecycle": lifecycle, "startedAtMs": 0})
+        })
+        .collect();
+    let list = json!({"generation": generation, "reset": true, "instances": instances});
+    let list = hallrelay_config::list::parse(list.to_string().as_bytes()).map_err(|e| e.to_string())?;
+    let mut records =
+        vec![Record::relay_identity("n1", 1, 0), Record::list_version("127.0.0.1:2", generation)];
+    records.extend(list.instances.iter().map(|instance| Record::server(generation, 0, instance)));
+    let mut stored = StoredState::default();
+    for record in records {
+        let bytes = record.bytes.unwrap_or_default();
+        stored.add(record.kind.number(), hallrelay_recovery::record::VERSION, record.name.as_bytes(), &bytes);
+    }
+    Ok(stored)
+}
+
 fn operator_request(word: &str) -> Result<OperatorRequest, Fault> {
     let requests = [
         ("readiness", OperatorRequest::Readiness),
