A successor tells its predecessor what it was told and what it used

Callers saw: the new process of a hot restart dies, the old one serves again, and sends sessions to a backend that the relay was told to drain meanwhile, or serves although operators drain the relay.

Cause: messages of a hot restart went from the old process to the new one only, so what the new one was told was lost with it; with a store as well, until the new process holds its lock (traced: killed 75 ms after the handover, store still locked).

Change: after the handover the successor sends lists, excluded backends, drains of the relay and used slots back (`RelayUpdate` in the extension of a list message). A predecessor announces that it accepts them; earlier builds do not, and get none. Forms and version of the messages stay.

--- a/hot_restart/src/lib.rs
+++ b/hot_restart/src/lib.rs
@@ -16,6 +16,6 @@
 pub mod ownership;
 
 pub use codec::{decode, encode, MessageError};
-pub use extension::{ListExtension, RemovedServer};
+pub use extension::{ListExtension, RelayUpdate, RemovedServer};
 pub use message::{ExclusionList, LoadReport, Message, RelayState, ServerState, SessionState, SlowStartSlot};
 pub use ownership::{OwnershipAction, OwnershipEvent, ProcessId, SocketOwnership};
--- a/hot_restart/src/message.rs
+++ b/hot_restart/src/message.rs
@@ -46,7 +46,8 @@
         /// Number of sessions.
         sessions: u32,
     },
-    /// An endpoint list that the old process received from discovery after it handed over.
+    /// An endpoint list that one process received after the handover, or, from the new process only, an
+    /// update of the relay in the list's extension.
     #[serde(rename = "listed")]
     EndpointList {
         /// The list in the format of discovery.
--- a/hot_restart/src/ownership.rs
+++ b/hot_restart/src/ownership.rs
@@ -1,6 +1,7 @@
 //! The state machine that decides whether a process owns the relay's listening socket. A process takes the
 //! socket over from its predecessor and hands it over to its successor. The inputs are messages and
 //! disconnects of the other processes, and timeouts that the caller runs.
+use crate::extension::ListExtension;
 use crate::message::{Message, RelayState, VERSION};
 use serde_json::Value;
 
@@ -45,6 +46,11 @@
         /// The list in the format of discovery.
         list: Value,
     },
+    /// This process was told or has used something that the predecessor would need if it served again.
+    PredecessorUpdated {
+        /// The message.
+        message: Message,
+    },
 }
 
 /// An output of the state machine: an action for the caller.
@@ -91,6 +97,8 @@
     },
     /// The predecessor received an endpoint list from discovery.
     PredecessorList(Value),
+    /// The successor received an endpoint list, or an update of the relay.
+    SuccessorList(Value),
     /// Write a line to the log.
     Log(String),
 }
@@ -121,6 +129,8 @@
     name: String,
     listen: String,
     predecessor: Predecessor,
+    /// Whether the predecessor accepts messages after the handover.
+    predecessor_accepts_updates: bool,
     successor: Successor,
 }
 
@@ -132,6 +142,7 @@
             name: name.to_string(),
             listen: listen.to_string(),
             predecessor: predecessor.map_or(Predecessor::None, Predecessor::Offered),
+            predecessor_accepts_updates: false,
             successor: Successor::None,
         }
     }
@@ -157,6 +168,18 @@
         }
     }
 
+    /// Whether the predecessor still runs and accepts what this process is told.
+    pub fn updates_predecessor(&self) -> bool {
+        self.updated_predecessor().is_some()
+    }
+
+    fn updated_predecessor(&self) -> Option<ProcessId> {
+        match self.predecessor {
+            Predecessor::HandedOver(process) if self.predecessor_accepts_updates => Some(process),
+            Predecessor::None | Predecessor::Offered(_) | Predecessor::HandedOver(_) => None,
+        }
+    }
+
     /// Applies an event and appends the resulting actions.
     pub fn step(&mut self, event: OwnershipEvent, actions: &mut Vec<OwnershipAction>) {
         match event {
@@ -169,6 +192,10 @@
             OwnershipEvent::ListReceived { list } => {
                 self.send_to_successor(Message::EndpointList { list }, actions);
             }
+            OwnershipEvent::PredecessorUpdated { message } => {
+                let predecessor = self.updated_predecessor();
+                actions.extend(predecessor.map(|process| OwnershipAction::Send { process, message }));
+            }
         }
     }
 
@@ -185,6 +212,9 @@
                 self.predecessor = Predecessor::HandedOver(process);
                 let connections = state.connections;
                 let sessions = state.session_ids.len() as u32;
+                let list = state.endpoint_list.as_ref();
+                self.predecessor_accepts_updates =
+                    list.is_some_and(|list| ListExtension::of(list).accepts_updates);
                 actions.push(OwnershipAction::TakeOver(Some(state)));
                 actions.push(OwnershipAction::PredecessorRemaining { connections, sessions });
             }
@@ -195,6 +225,9 @@
             Message::EndpointList { list } if has_handed_over => {
                 actions.push(OwnershipAction::PredecessorList(list));
             }
+            Message::EndpointList { list } if self.successor == Successor::Owner(process) => {
+                actions.push(OwnershipAction::SuccessorList(list));
+            }
             message => {
                 let text = format!("{message:?}");
                 actions.push(OwnershipAction::Log(format!(
--- a/hot_restart/tests/ownership.rs
+++ b/hot_restart/tests/ownership.rs
@@ -3,8 +3,8 @@
 use hallrelay_hot_restart::codec::MAX_MESSAGE_BYTES;
 use hallrelay_hot_restart::message::VERSION;
 use hallrelay_hot_restart::{
-    decode, encode, LoadReport, Message, OwnershipAction, OwnershipEvent, RelayState, ServerState,
-    SlowStartSlot, SocketOwnership,
+    decode, encode, ExclusionList, ListExtension, LoadReport, Message, OwnershipAction, OwnershipEvent,
+    RelayState, RelayUpdate, RemovedServer, ServerState, SlowStartSlot, SocketOwnership,
 };
 
 fn message(word: &str) -> Message {
@@ -14,6 +14,11 @@
         "other-address" => Message::Hello { version: VERSION, name: "n1".into(), listen: "a:2".into() },
         "ready" => Message::Ready {},
         "yours" => Message::TakeOver(Box::new(RelayState { connections: 3, ..RelayState::default() })),
+        "yours-accepting-updates" => {
+            let mut list = serde_json::json!({"generation": 1, "reset": true, "instances": []});
+            ListExtension { accepts_updates: true, ..ListExtension::default() }.attach(&mut list);
+            Message::TakeOver(Box::new(RelayState { endpoint_list: Some(list), ..RelayState::default() }))
+        }
         "no" => Message::Rejected { reason: "why".into() },
         "holds" => Message::Remaining { connections: 2, sessions: 1 },
         "listed" => Message::EndpointList { list: serde_json::json!({"generation": 2}) },
@@ -45,6 +50,7 @@
             format!("predecessor keeps {connections} {sessions}")
         }
         OwnershipAction::PredecessorList(list) => format!("predecessor list {list}"),
+        OwnershipAction::SuccessorList(list) => format!("successor list {list}"),
         OwnershipAction::Log(_) => "log".into(),
     }
 }
@@ -65,6 +71,9 @@
             "disconnected" => OwnershipEvent::Disconnected { peer },
             "timeout" => OwnershipEvent::ReadyTimeout { peer },
             "list" => OwnershipEvent::ListReceived { list: serde_json::json!({"generation": 2}) },
+            "updated" => OwnershipEvent::PredecessorUpdated {
+                message: ListExtension::message(RelayUpdate::Draining(true)),
+            },
             "remaining" => OwnershipEvent::RemainingChanged { connections: 5, sessions: 4 },
             word => OwnershipEvent::Received { peer, message: message(word) },
         };
@@ -262,3 +271,80 @@
         => predecessor list {\"generation\":2}",
     );
 }
+
+/// Guards a predecessor of an earlier build, which ends the hot restart at a message that it does not expect.
+#[test]
+fn only_predecessor_that_accepts_updates_gets_them() {
+    run_script(
+        Some(0),
+        "updated
+        yours 0
+        => take over with state
+        => predecessor keeps 3 0
+        updated",
+    );
+    run_script(
+        Some(0),
+        "updated
+        yours-accepting-updates 0
+        => take over with state
+        => predecessor keeps 0 0
+        updated
+        => listed to 0
+        disconnected 0
+        => predecessor keeps 0 0
+        updated",
+    );
+}
+
+#[test]
+fn list_of_successor_is_accepted_after_handover_only() {
+    run_script(
+        None,
+        "hello 1
+        => offer to 1
+        => start timer for 1
+        ready 1
+        => hand over to 1
+        listed 1
+        => successor list {\"generation\":2}",
+    );
+    run_script(
+        None,
+        "hello 1
+        => offer to 1
+        => start timer for 1
+        listed 1
+        => log
+        => no to 1: out of turn
+        => disconnect 1
+        => log",
+    );
+}
+
+#[test]
+fn list_extension_survives_encoding_and_is_ignored_by_list_parsers() {
+    let updates = [
+        RelayUpdate::Excluded(ExclusionList { log_index: 7, backends: vec!["s-1".into()] }),
+        RelayUpdate::Draining(false),
+        RelayUpdate::SlotUsed("s-2".into()),
+    ];
+    for update in updates {
+        let message = ListExtension::message(update.clone());
+        let line = encode(&message).expect("encode the message");
+        let decoded = decode(line.trim_ascii_end()).expect("decode the message");
+        let Message::EndpointList { list } = decoded else { panic!("not a list: {decoded:?}") };
+        assert_eq!(ListExtension::of(&list).update, Some(update));
+    }
+    let extension = ListExtension {
+        source: Some("10.0.0.1:8500".into()),
+        removed: vec![RemovedServer { name: "s-9".into(), started_at: 5 }],
+        accepts_updates: true,
+        update: None,
+    };
+    let mut list = serde_json::json!({"generation": 1, "reset": true, "instances": []});
+    extension.attach(&mut list);
+    assert_eq!(ListExtension::of(&list), extension);
+    list["hotRestart"] = serde_json::json!("invalid");
+    assert_eq!(ListExtension::of(&list), ListExtension::default());
+}
--- a/relay/src/reducer/balancer_effects.rs
+++ b/relay/src/reducer/balancer_effects.rs
@@ -23,7 +23,7 @@
                 session.server = Some(server);
                 session.dials += 1;
                 if let Some(addr) = self.servers.get(&server).map(|server| server.instance.addr) {
-                    self.persist_slow_start_slot_use(server, session_id, out);
+                    self.record_slow_start_slot_use(server, session_id, out);
                     // `self.node` is this relay's configuration. The balancer sets `send_within` only if the
                     // session's idempotency key limits when the request may be sent.
                     let start_within =
--- a/relay/src/reducer/excluded_backends.rs
+++ b/relay/src/reducer/excluded_backends.rs
@@ -6,6 +6,7 @@
 use crate::control_message::RemainingSessions;
 use hallrelay_balancer::types::{Phase, SessionId};
 use hallrelay_config::list::{Instance, List};
+use hallrelay_hot_restart::{ExclusionList, RelayUpdate};
 use hallrelay_raft::Index;
 use hallrelay_recovery::Record;
 use std::collections::BTreeSet;
@@ -36,7 +37,9 @@
             out.push(Effect::Persist { record: Record::exclusions(index, &ids), before: None });
         }
         log(format!("{} backends are excluded by the replicated log at index {index}", ids.len()), out);
+        let backends = ids.iter().cloned().collect();
         coordination.excluded = ExcludedBackends { index, ids };
+        self.update_predecessor(RelayUpdate::Excluded(ExclusionList { log_index: index, backends }), out);
         self.apply_exclusion(&changed, out);
     }
 
--- a/relay/src/reducer/lifecycle.rs
+++ b/relay/src/reducer/lifecycle.rs
@@ -3,6 +3,7 @@
 use super::{log, Effect, Reducer};
 use hallrelay_balancer::types::{Micros, SessionId};
 use hallrelay_config::limits::Limits;
+use hallrelay_hot_restart::RelayUpdate;
 use std::fmt;
 
 /// The state of this process.
@@ -37,6 +38,10 @@
     TakeOverDraining,
     /// The successor takes over.
     HandOver,
+    /// An operator drains the relay by a command to the successor.
+    SuccessorDrains,
+    /// An operator ends the drain by a command to the successor.
+    SuccessorActivated,
     /// The successor exited, as intended or not.
     SuccessorExited,
 }
@@ -95,10 +100,12 @@
         row(HandedOver, Drain, HandedOver, Reject),
         row(HandedOver, Activate, HandedOver, Reject),
         row(HandedOver, Stop, HandedOverStopping, StartDraining),
+        row(HandedOver, SuccessorDrains, HandedOverDraining, StartDraining),
         row(HandedOver, SuccessorExited, Serving, StartAccepting),
         row(HandedOverDraining, Drain, HandedOverDraining, Reject),
         row(HandedOverDraining, Activate, HandedOverDraining, Reject),
         row(HandedOverDraining, Stop, HandedOverStopping, StartDraining),
+        row(HandedOverDraining, SuccessorActivated, HandedOver, StopDraining),
         row(HandedOverDraining, SuccessorExited, Draining, StartAccepting),
         row(HandedOverStopping, Drain, HandedOverStopping, Reject),
         row(HandedOverStopping, Activate, HandedOverStopping, Reject),
@@ -225,6 +232,11 @@
         }
         if from != to {
             self.refresh_metadata(out);
+            match event {
+                LifecycleEvent::Drain => self.update_predecessor(RelayUpdate::Draining(true), out),
+                LifecycleEvent::Activate => self.update_predecessor(RelayUpdate::Draining(false), out),
+                _ => {}
+            }
         }
         action
     }
--- a/relay/src/reducer/listener_ownership.rs
+++ b/relay/src/reducer/listener_ownership.rs
@@ -74,6 +74,7 @@
                 }
             }
             OwnershipAction::PredecessorList(list) => self.receive_process_list(&list, out),
+            OwnershipAction::SuccessorList(list) => self.receive_from_successor(&list, out),
             OwnershipAction::Log(text) => log(text, out),
         }
     }
--- a/relay/src/reducer/peer_list.rs
+++ b/relay/src/reducer/peer_list.rs
@@ -90,7 +90,7 @@
         let generation = self.list_version.generation;
         let list = List { generation, instances: accepted, ..List::default() };
         self.persist_list(&list, out);
-        self.send_list_to_successor(&list, out);
+        self.send_list_to_processes(&list, out);
         self.apply_list(list, out);
     }
 
--- a/relay/src/reducer/persistence.rs
+++ b/relay/src/reducer/persistence.rs
@@ -5,7 +5,10 @@
 use super::{log, Effect, Reducer, Server};
 use hallrelay_balancer::types::{Input, Phase, ServerId, ServerSnapshot, SessionId, SlotSnapshot, Snapshot};
 use hallrelay_config::list::{Instance, List};
-use hallrelay_recovery::{recover, PhaseInput, Record, RecoverInput, Recovered, RecoveryPhase, StoredState};
+use hallrelay_hot_restart::RelayUpdate;
+use hallrelay_recovery::{
+    recover, PhaseInput, Record, RecoverInput, Recovered, RecoveryPhase, SlowStartSlot, StoredState,
+};
 
 impl Reducer {
     /// Sets the state read from the store. This must be called before [`Reducer::start`].
@@ -50,7 +53,12 @@
 
     /// Marks the stored slots as used, at servers in slow start, unless this process has used a later one.
     pub(super) fn restore_slow_start_slots(&mut self, recovered: &Recovered, out: &mut Vec<Effect>) {
-        if recovered.slow_start_slots.is_empty() {
+        self.restore_slots(&recovered.slow_start_slots, out);
+    }
+
+    /// Marks slots as used.
+    pub(super) fn restore_slots(&mut self, slots: &[SlowStartSlot], out: &mut Vec<Effect>) {
+        if slots.is_empty() {
             return;
         }
         let Snapshot { session_load, servers } = self.balancer.snapshot(self.now);
@@ -59,7 +67,7 @@
         let unreported =
             servers.into_iter().map(|server| ServerSnapshot { report: None, recent_sessions: 0.0, ..server });
         let mut servers: Vec<ServerSnapshot> = unreported.collect();
-        for slot in &recovered.slow_start_slots {
+        for slot in slots {
             let Some(server) = self.ids.get(&slot.server) else { continue };
             let Some(known) = servers.iter_mut().find(|known| known.server == *server) else { continue };
             let is_later = known.slot.interval_fraction >= 1.0 && known.slot.age <= slot.age;
@@ -119,15 +127,16 @@
         left_out.map(|instance| Instance { phase: Phase::Gone, ..instance.clone() }).collect()
     }
 
-    /// Stores that this dial uses a slot, if its server is in slow start. The dial waits for the record, but
-    /// not longer than a limit, so that a relay that crashes repeatedly stays within its rate of dials.
-    pub(super) fn persist_slow_start_slot_use(
+    /// Stores that this dial uses a slot, if its server is in slow start, and tells the predecessor. The dial
+    /// waits for the record, but not longer than a limit, so that a relay that crashes repeatedly stays within
+    /// its rate of dials.
+    pub(super) fn record_slow_start_slot_use(
         &mut self,
         server: ServerId,
         session_id: SessionId,
         out: &mut Vec<Effect>,
     ) {
-        if self.node.state.is_none() {
+        if self.node.state.is_none() && !self.ownership.updates_predecessor() {
             return;
         }
         let Some(entry) = self.servers.get(&server) else { return };
@@ -138,9 +147,14 @@
         let used_now = SlotSnapshot { age: 0, interval_fraction: 1.0 };
         let known = self.balancer.snapshot(self.now);
         let was_used_now = known.servers.iter().any(|known| known.server == server && known.slot == used_now);
-        if was_used_now {
-            let record = Record::slow_start_slot(&entry.instance.id, self.now);
+        if !was_used_now {
+            return;
+        }
+        let name = entry.instance.id.clone();
+        if self.node.state.is_some() {
+            let record = Record::slow_start_slot(&name, self.now);
             out.push(Effect::Persist { record, before: Some(session_id) });
         }
+        self.update_predecessor(RelayUpdate::SlotUsed(name), out);
     }
 }
--- a/relay/src/reducer/process_list.rs
+++ b/relay/src/reducer/process_list.rs
@@ -1,10 +1,12 @@
 //! The endpoint list between the two processes of a hot restart. Both are one relay: what discovery or other
 //! relays have told one of them holds for the other.
+use super::lifecycle::LifecycleEvent;
 use super::watch::ListVersion;
 use super::{Effect, Reducer};
 use hallrelay_balancer::types::Phase;
 use hallrelay_config::list::{self, Instance, List};
-use hallrelay_hot_restart::{ListExtension, OwnershipEvent, RemovedServer};
+use hallrelay_hot_restart::{ListExtension, Message, OwnershipEvent, RelayUpdate, RemovedServer};
+use hallrelay_recovery::SlowStartSlot;
 use serde_json::Value;
 use std::net::SocketAddr;
 
@@ -23,16 +25,51 @@
             .iter()
             .map(|(name, &started_at)| RemovedServer { name: name.clone(), started_at });
         let source = Some(self.list_version.source.to_string());
-        ListExtension { source, removed: removed.collect() }.attach(&mut list);
+        let removed = removed.collect();
+        ListExtension { source, removed, accepts_updates: true, update: None }.attach(&mut list);
         list
     }
 
-    /// Forwards a list to the successor, whose own watch may not be open.
-    pub(super) fn send_list_to_successor(&mut self, list: &List, out: &mut Vec<Effect>) {
-        if self.ownership.successor().is_some() {
-            let list = list::encode(list.generation, list.is_complete, list.instances.iter());
-            let list = self.list_for_process(list);
-            self.apply_ownership_event(OwnershipEvent::ListReceived { list }, out);
+    /// Forwards a list to the other process, whose own watch may not be open: to the successor, and to a
+    /// predecessor that may have to serve again.
+    pub(super) fn send_list_to_processes(&mut self, list: &List, out: &mut Vec<Effect>) {
+        let has_successor = self.ownership.successor().is_some();
+        if !has_successor && !self.ownership.updates_predecessor() {
+            return;
+        }
+        let list = list::encode(list.generation, list.is_complete, list.instances.iter());
+        let list = self.list_for_process(list);
+        let event = match has_successor {
+            true => OwnershipEvent::ListReceived { list },
+            false => OwnershipEvent::PredecessorUpdated { message: Message::EndpointList { list } },
+        };
+        self.apply_ownership_event(event, out);
+    }
+
+    /// Tells a predecessor that may have to serve again what this process was told or has used.
+    pub(super) fn update_predecessor(&mut self, update: RelayUpdate, out: &mut Vec<Effect>) {
+        if self.ownership.updates_predecessor() {
+            let message = ListExtension::message(update);
+            self.apply_ownership_event(OwnershipEvent::PredecessorUpdated { message }, out);
+        }
+    }
+
+    /// Handles a message of the successor.
+    pub(super) fn receive_from_successor(&mut self, list: &Value, out: &mut Vec<Effect>) {
+        match ListExtension::of(list).update {
+            None => self.receive_process_list(list, out),
+            Some(RelayUpdate::Excluded(excluded)) => {
+                self.exclude_backends(excluded.log_index, excluded.backends.into_iter().collect(), out);
+            }
+            Some(RelayUpdate::Draining(true)) => {
+                self.apply_lifecycle_event(LifecycleEvent::SuccessorDrains, out);
+            }
+            Some(RelayUpdate::Draining(false)) => {
+                self.apply_lifecycle_event(LifecycleEvent::SuccessorActivated, out);
+            }
+            Some(RelayUpdate::SlotUsed(server)) => {
+                self.restore_slots(&[SlowStartSlot { server, age: 0 }], out);
+            }
         }
     }
 
@@ -87,7 +124,6 @@
         self.list_version = ListVersion { source, generation: list.generation };
         self.record_removed_servers(&list);
         self.persist_list(&list, out);
-        self.send_list_to_successor(&list, out);
         self.apply_list(list, out);
     }
 
@@ -102,7 +138,6 @@
         let drains = List { generation, instances, ..List::default() };
         self.record_removed_servers(&drains);
         self.persist_list(&drains, out);
-        self.send_list_to_successor(&drains, out);
         self.apply_list(drains, out);
     }
 
--- a/relay/src/reducer/watch.rs
+++ b/relay/src/reducer/watch.rs
@@ -85,7 +85,7 @@
         let list = self.drain_unreadable_entries(list, out);
         self.record_removed_servers(&list);
         self.persist_list(&list, out);
-        self.send_list_to_successor(&list, out);
+        self.send_list_to_processes(&list, out);
         self.apply_list(list, out);
     }
 
--- a/relay/tests/told_drains.rs
+++ b/relay/tests/told_drains.rs
@@ -127,6 +127,51 @@
     drop(new);
 }
 
+/// Guards a drain that only the successor was told of, by its own discovery, against the successor's death:
+/// the old process serves again.
+fn drain_outlasts_failed_hot_restart(mut fixture: Fixture) {
+    let old_discovery = Discovery::start(fixture.drained());
+    old_discovery.stop_answering();
+    let new_discovery = std::mem::replace(&mut fixture.config.json["discovery"], json!(null));
+    fixture.config.json["discovery"] = json!(old_discovery.address.to_string());
+    let old = fixture.start();
+    fixture.config.json["discovery"] = new_discovery;
+    let new = fixture.start();
+    fixture.tell(fixture.drained());
+    kill(new);
+    wait_until("the old process serves again", || old.is_ready());
+    fixture.assert_drain_holds("the failed hot restart");
+    drop(old);
+}
+
+#[test]
+fn drain_outlasts_failed_hot_restart_with_store() {
+    drain_outlasts_failed_hot_restart(Fixture::with_store("failed-with-store"));
+}
+
+#[test]
+fn drain_outlasts_failed_hot_restart_without_store() {
+    drain_outlasts_failed_hot_restart(Fixture::new("failed"));
+}
+
+/// Guards an operator's drain of the relay, given to the successor, against the successor's death.
+#[test]
+fn drain_of_relay_outlasts_failed_hot_restart() {
+    let mut fixture = Fixture::new("relay-drain");
+    let old = fixture.start();
+    let new = fixture.start();
+    assert_eq!(new.request("POST", "/v1/relay/drain").0, 200);
+    // The successor tells its predecessor at once.
+    std::thread::sleep(std::time::Duration::from_millis(200));
+    kill(new);
+    wait_until("the old process owns the socket", || {
+        Client::ping(fixture.config.listen_address) == Ok("BUSY".to_string())
+    });
+    assert!(!old.is_ready(), "the relay must still drain");
+    assert_eq!(old.request("POST", "/v1/relay/activate").0, 200);
+    wait_until("the relay serves again", || old.is_ready());
+}
+
 /// Guards an entry that cannot be read, which ends new sessions at its backend, against a restart: the store
 /// kept the older entry with the newer version.
 #[test]
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -13,7 +13,7 @@
 //!   `session-handover-failed SESSION`, `message-latency SESSION MS`, `load-reported SESSION X`,
 //!   `first-line-forwarded`, `probe-ended NAME END|load=X [queue_delay=X]`,
 //!   `process NUMBER hello|ready|disconnected`, `process NUMBER take-over [draining_age=MS] [id=ID]`,
-//!   `process NUMBER endpoint-list VERSION NAME[:LIFECYCLE] ..`,
+//!   `process NUMBER endpoint-list VERSION NAME[:LIFECYCLE] ..`, `process NUMBER slot-used NAME`,
 //!   `endpoint-list snapshot|delta VERSION NAME[:draining|:removed|:up@STARTED_MS] ..`,
 //!   `store-reopened VERSION NAME[:LIFECYCLE] ..` (the store, opened by this process, with this list),
 //!   `endpoint-list watch-failed` (of the newest watch or of `watch=WATCH`),
@@ -40,7 +40,7 @@
 use hallrelay_config::facts::ReportOrder;
 use hallrelay_config::node::{self, Node, Overrides};
 use hallrelay_hot_restart::message::VERSION;
-use hallrelay_hot_restart::{Message, OwnershipEvent, RelayState, SessionState};
+use hallrelay_hot_restart::{ListExtension, Message, OwnershipEvent, RelayState, RelayUpdate, SessionState};
 use hallrelay_recovery::{Record, StoredState};
 use hallrelay_relay::lines;
 use hallrelay_relay::reducer::{Effect, Event, OperatorReply, OperatorRequest, Reducer};
@@ -223,6 +223,7 @@
                             list: json!({"generation": generation, "reset": false, "instances": instances}),
                         }
                     }
+                    "slot-used" => ListExtension::message(RelayUpdate::SlotUsed(word(3)?.to_string())),
                     other => return Err(format!("unknown message '{other}'")),
                 };
                 Event::HotRestart(OwnershipEvent::Received { peer, message })
