Where lists are pushed, a started relay serves only after discovery's first answer

Cause: `start` applies the configured list and `is_serving` asked only whether a server is known.

Change: `first_list.rs` holds readiness and sessions until the first answer of a watch, also one without changes (`EndpointListUnchanged`), or until a connect is refused, as discovery is then down and has no news.

--- a/lab/src/virt/discovery.rs
+++ b/lab/src/virt/discovery.rs
@@ -6,7 +6,7 @@
 use hallrelay_balancer::types::Phase;
 use hallrelay_config::list::{Instance, List};
 use hallrelay_emulator::day::DriverActions;
-use hallrelay_relay::reducer::Event;
+use hallrelay_relay::reducer::{Event, WatchFailure};
 
 impl VirtualDay<'_> {
     /// A relay opens a watch. The watch is answered after a round trip, or fails if discovery is down or the
@@ -17,10 +17,10 @@
         if self.day.list_cut[relay] {
             let timeout = self.relays[relay].limits.discovery_answer_timeout;
             self.day.audit.list_call_failed(relay);
-            self.notify_after(timeout, relay, Event::EndpointWatchFailed { watch });
+            self.notify_after(timeout, relay, watch_failed(watch, WatchFailure::Failed));
         } else if self.is_discovery_down {
             self.day.audit.list_call_failed(relay);
-            self.notify_after(round_trip, relay, Event::EndpointWatchFailed { watch });
+            self.notify_after(round_trip, relay, watch_failed(watch, WatchFailure::Refused));
         } else {
             self.relays[relay].watches.push(Watch { id: watch, since, is_answered: false });
             self.schedule_after(round_trip, QueuedEvent::WatchEvent { process, watch });
@@ -95,7 +95,7 @@
         let limits = &self.relays[relay].limits;
         let noticed_after = limits.discovery_watch_timeout + limits.discovery_answer_timeout;
         for watch in std::mem::take(&mut self.relays[relay].watches) {
-            self.notify_after(noticed_after, relay, Event::EndpointWatchFailed { watch: watch.id });
+            self.notify_after(noticed_after, relay, watch_failed(watch.id, WatchFailure::Failed));
         }
     }
 
@@ -105,8 +105,12 @@
         for relay in 0..self.relays.len() {
             for watch in std::mem::take(&mut self.relays[relay].watches) {
                 self.day.audit.list_call_failed(relay);
-                self.notify_after(latency, relay, Event::EndpointWatchFailed { watch: watch.id });
+                self.notify_after(latency, relay, watch_failed(watch.id, WatchFailure::Failed));
             }
         }
     }
 }
+
+fn watch_failed(watch: u32, failure: WatchFailure) -> Event {
+    Event::EndpointWatchFailed { watch, failure }
+}
--- a/relay/src/net/discovery.rs
+++ b/relay/src/net/discovery.rs
@@ -5,7 +5,7 @@
 //! long, a second call is opened in parallel; the call that first returns data is kept, the other is dropped.
 use super::Hub;
 use crate::clock::span;
-use crate::reducer::Event;
+use crate::reducer::{Event, WatchFailure};
 use crate::socket::{self, ConnectError, RetryingStream};
 use crate::values::{Part, Values, ValuesError};
 use hallrelay_config::list::{self, List};
@@ -17,6 +17,7 @@
 use hyper_util::rt::TokioIo;
 use std::convert::Infallible;
 use std::future::{pending, Future};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::time::Duration;
@@ -55,11 +56,24 @@
     NoList(Duration),
 }
 
+impl WatchError {
+    fn kind(&self) -> WatchFailure {
+        match self {
+            WatchError::Connect(ConnectError::Remote(error))
+                if error.kind() == ErrorKind::ConnectionRefused =>
+            {
+                WatchFailure::Refused
+            }
+            _ => WatchFailure::Failed,
+        }
+    }
+}
+
 /// Watches the list until the watch fails, then reports the failure.
 pub async fn run(id: u32, addr: SocketAddr, since: Option<u64>, hub: Hub) {
     let Err(error) = Watch { id, addr, hub: &hub }.run(since).await;
     slog::info!(hub.log, "watch {} of the endpoint list ended", id; "at" => %addr, "why" => %error);
-    hub.notify(Event::EndpointWatchFailed { watch: id }).await;
+    hub.notify(Event::EndpointWatchFailed { watch: id, failure: error.kind() }).await;
 }
 
 async fn fetch_list(addr: SocketAddr, max_bytes: usize) -> Result<List, WatchError> {
@@ -162,6 +176,7 @@
         // Time of the last complete value or blank line. Parts of a value do not count: a value that never
         // ends does not show that the watch works.
         let mut last_received_at = Instant::now();
+        let mut has_answered = false;
         loop {
             let (call, list) = tokio::select! {
                 biased;
@@ -198,7 +213,10 @@
             if let Some(list) = list {
                 since = if list.is_complete { list.generation } else { list.generation.max(since) };
                 self.hub.notify(Event::EndpointListReceived { watch: self.id, list }).await;
+            } else if !has_answered {
+                self.hub.notify(Event::EndpointListUnchanged { watch: self.id }).await;
             }
+            has_answered = true;
         }
     }
 
--- a/relay/src/net/interleaving_tests/endpoint_watch.rs
+++ b/relay/src/net/interleaving_tests/endpoint_watch.rs
@@ -153,7 +153,7 @@
         assert_eq!(next_list(&mut events).await.generation, 9);
         drop(second);
         let failure = await_soon("failure", events.recv()).await;
-        assert!(matches!(failure, Some(Event::EndpointWatchFailed { watch: 1 })), "{failure:?}");
+        assert!(matches!(failure, Some(Event::EndpointWatchFailed { watch: 1, .. })), "{failure:?}");
     });
 }
 
--- a/relay/src/reducer/events.rs
+++ b/relay/src/reducer/events.rs
@@ -175,10 +175,17 @@
         /// The list, or the changes.
         list: List,
     },
+    /// A watch was opened and has no changes to deliver.
+    EndpointListUnchanged {
+        /// The watch's number.
+        watch: u32,
+    },
     /// A watch on the endpoint list has ended.
     EndpointWatchFailed {
         /// The watch's number.
         watch: u32,
+        /// Why it has ended.
+        failure: WatchFailure,
     },
     /// The configuration was reloaded and is valid.
     ConfigurationReloaded(Box<Node>),
@@ -229,6 +236,15 @@
     StopRequested,
 }
 
+/// Why a watch on the endpoint list has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WatchFailure {
+    /// Nothing accepts connections at the address of discovery.
+    Refused,
+    /// Discovery did not answer in time, answered with an error, or ended the call.
+    Failed,
+}
+
 /// The timers that the reducer starts.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Timer {
@@ -254,6 +270,8 @@
     PendingRequest(u32),
     /// The store, which another process has written, was not opened in time.
     StoreOpenTimeout,
+    /// Discovery has not answered a starting process in time.
+    FirstListTimeout,
     /// A failed watch on the endpoint list is to be reopened, if the balancer does not request that itself.
     RequestEndpointList,
     /// The next poll of other relays for the endpoint list is due, while discovery is unavailable.
--- a/relay/src/reducer/lifecycle.rs
+++ b/relay/src/reducer/lifecycle.rs
@@ -264,9 +264,9 @@
         self.lifecycle == Lifecycle::Serving && self.has_servers()
     }
 
-    /// Whether any server is known.
+    /// Whether any server is known, by a list that is not older than this process may use.
     pub(super) fn has_servers(&self) -> bool {
-        !self.servers.is_empty()
+        !self.servers.is_empty() && !self.awaits_first_list
     }
 
     pub(super) fn ping_received(&mut self, connection_id: SessionId, out: &mut Vec<Effect>) {
--- a/relay/src/reducer/mod.rs
+++ b/relay/src/reducer/mod.rs
@@ -23,6 +23,7 @@
 mod draining;
 mod events;
 mod excluded_backends;
+mod first_list;
 mod idle_connections;
 mod latency;
 mod leader_review;
@@ -48,7 +49,7 @@
 mod watch;
 
 pub use drain_requests::DrainRequest;
-pub use events::{Effect, Event, OperatorReply, OperatorRequest, Timer};
+pub use events::{Effect, Event, OperatorReply, OperatorRequest, Timer, WatchFailure};
 pub use lifecycle::LifecycleStatus;
 pub use membership::MembershipMetrics;
 pub use metrics::{Metrics, Outcomes};
@@ -120,6 +121,8 @@
     coordination: Option<Box<coordination::Coordination>>,
     /// The counts of this relay's own sessions at its last report.
     reported_counts: SessionCounts,
+    /// Whether this process serves only after discovery's first answer.
+    awaits_first_list: bool,
     /// When discovery answered last; `None` if it has not answered since the start.
     last_discovery_answer_at: Option<Micros>,
     /// When discovery gave the answer before the last one.
@@ -158,6 +161,7 @@
             store_health: None,
             coordination: None,
             reported_counts: SessionCounts::default(),
+            awaits_first_list: false,
             last_discovery_answer_at: None,
             previous_discovery_answer_at: None,
             peer_lists_received: 0,
@@ -209,6 +213,7 @@
         if self.ownership.awaited_predecessor().is_none() {
             self.persist_identity(out);
             self.start_polling_peers(out);
+            self.await_first_list(out);
         }
         // If `must_watch` is set, the balancer requests the watch itself.
         if !self.node.site.facts.must_watch {
@@ -246,7 +251,8 @@
                 self.health_check_ended(server, end, report, out);
             }
             Event::EndpointListReceived { watch, list } => self.list_received(watch, list, out),
-            Event::EndpointWatchFailed { watch } => self.watch_failed(watch, out),
+            Event::EndpointListUnchanged { watch } => self.list_unchanged(watch, out),
+            Event::EndpointWatchFailed { watch, failure } => self.watch_failed(watch, failure, out),
             Event::ConfigurationReloaded(node) => self.configuration_reloaded(*node, out),
             Event::ConfigurationRejected => self.metrics.reload_errors += 1,
             Event::OperatorCall { call, request } => self.operator_call(call, request, out),
@@ -282,6 +288,7 @@
             Timer::HandoverProgress => self.report_remaining(out),
             Timer::Membership => self.membership_timer_expired(out),
             Timer::StoreOpenTimeout => self.begin_service(out),
+            Timer::FirstListTimeout => self.first_list_timed_out(out),
             Timer::RequestEndpointList => self.watch_endpoints(out),
             Timer::PollPeers => self.poll_peers(out),
             Timer::Voter(timer, round) => self.raft_timer(timer, round, out),
--- a/relay/src/reducer/sessions.rs
+++ b/relay/src/reducer/sessions.rs
@@ -116,6 +116,8 @@
         }
         out.push(Effect::StartTimer { after: timeout, timer: Timer::AnswerDeadline(session_id) });
         match open.at {
+            // The session waits for discovery's first answer.
+            None if self.awaits_first_list => {}
             None => self.step_balancer(Input::SessionRequested { session: session_id, request }, out),
             Some(backend) => self.resume_session(session_id, &backend, out),
         }
@@ -189,7 +191,8 @@
 
     /// Handles a deadline that passed without a final answer: the session is answered with a failure.
     pub(super) fn deadline_expired(&mut self, session_id: SessionId, out: &mut Vec<Effect>) {
-        self.answer_waiting_session(session_id, Effect::TearDown { session_id }, out);
+        let answer = self.answer_at_deadline(session_id);
+        self.answer_waiting_session(session_id, answer, out);
     }
 
     /// Sends a waiting session the relay's own final answer. The balancer is notified, unless the session
--- a/relay/src/reducer/store_takeover.rs
+++ b/relay/src/reducer/store_takeover.rs
@@ -12,6 +12,7 @@
     /// read first, as at a cold start: that process may have been notified of drains there.
     pub(super) fn serve_after_store(&mut self, event: LifecycleEvent, out: &mut Vec<Effect>) {
         self.pending_service = Some(event);
+        self.await_first_list(out);
         self.acquire_store_and_membership(out);
         if self.node.state.is_none() {
             return self.begin_service(out);
--- a/relay/src/reducer/watch.rs
+++ b/relay/src/reducer/watch.rs
@@ -1,6 +1,6 @@
 //! The watch on the endpoint list: opens it, reopens it after failures, and moves it to a new discovery
 //! address. The list from the old address, with its drains, is kept until the new one has answered.
-use super::{log, Effect, Reducer, Timer};
+use super::{log, Effect, Reducer, Timer, WatchFailure};
 use hallrelay_balancer::types::{Input, ListUpdate};
 use hallrelay_config::list::List;
 use hallrelay_config::node::Node;
@@ -87,9 +87,17 @@
         self.persist_list(&list, out);
         self.send_list_to_processes(&list, out);
         self.apply_list(list, out);
+        self.end_wait_for_list(out);
     }
 
-    pub(super) fn watch_failed(&mut self, watch: u32, out: &mut Vec<Effect>) {
+    /// Handles a watch that has nothing to deliver: the known list is discovery's.
+    pub(super) fn list_unchanged(&mut self, watch: u32, out: &mut Vec<Effect>) {
+        if watch == self.watch.latest {
+            self.end_wait_for_list(out);
+        }
+    }
+
+    pub(super) fn watch_failed(&mut self, watch: u32, failure: WatchFailure, out: &mut Vec<Effect>) {
         out.push(Effect::StopWatch { watch });
         if self.watch.is_delivering(watch) {
             self.watch.delivering = None;
@@ -97,6 +105,10 @@
         if watch != self.watch.latest || !std::mem::take(&mut self.watch.is_open) {
             return;
         }
+        if failure == WatchFailure::Refused {
+            // Discovery is down, so it has no changes that this relay would have to know.
+            self.end_wait_for_list(out);
+        }
         match self.node.limits.discovery_retry_delay {
             // There is a retry delay if lists are pushed. This relay must then obey changes within the drain
             // grace even while no watch is open, so it reopens the watch itself, without the balancer.
--- a/relay/tests/told_drains.rs
+++ b/relay/tests/told_drains.rs
@@ -8,6 +8,7 @@
     free_address, listener_settings, wait_until, Client, CountingBackend, RelayConfig, RelayProcess,
 };
 use serde_json::{json, Value};
+use std::net::TcpStream;
 
 /// Number of sessions by which a test sees whether a backend gets any.
 const SESSIONS: usize = 20;
@@ -221,3 +222,19 @@
     fixture.assert_drain_holds("the restart");
     drop(newest);
 }
+
+/// Guards a drain of before the start of a process, where lists are pushed, against a discovery service that turns
+/// the first calls away: the relay must not serve by its older list.
+#[test]
+fn drain_before_start_holds_where_lists_are_pushed() {
+    let mut fixture = Fixture::new("pushed");
+    fixture.config.json["settings"]["Discovery"] = json!("automatic");
+    fixture.discovery.stop_answering();
+    let relay = fixture.config.start();
+    wait_until("the operators' address is open", || TcpStream::connect(relay.operator_address).is_ok());
+    std::thread::sleep(std::time::Duration::from_millis(1_000));
+    assert!(!relay.is_ready(), "the relay must not be ready before discovery's first answer");
+    fixture.discovery.publish(fixture.drained());
+    relay.wait_until_ready();
+    fixture.assert_drain_holds("the start");
+}
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -16,7 +16,8 @@
 //!   `process NUMBER endpoint-list VERSION NAME[:LIFECYCLE] ..`, `process NUMBER slot-used NAME`,
 //!   `endpoint-list snapshot|delta VERSION NAME[:draining|:removed|:up@STARTED_MS] ..`,
 //!   `store-reopened VERSION NAME[:LIFECYCLE] ..` (the store, opened by this process, with this list),
-//!   `endpoint-list watch-failed` (of the newest watch or of `watch=WATCH`),
+//!   `endpoint-list watch-failed` (of the newest watch or of `watch=WATCH`; with `refused` at the end, nothing
+//!   accepts connections at discovery's address), `endpoint-list unchanged`,
 //!   `operator-call NUMBER readiness|metrics|drain|activate`, `configuration-reloaded PORT [KEY=VALUE]`
 //!   (discovery is at this port), `tuning-reloaded LISTENER:EFFECT .. [dials=N] [timeout=MS]`,
 //!   `configuration-rejected`, `stop-requested`, `advance`.
@@ -43,7 +44,7 @@
 use hallrelay_hot_restart::{ListExtension, Message, OwnershipEvent, RelayState, RelayUpdate, SessionState};
 use hallrelay_recovery::{Record, StoredState};
 use hallrelay_relay::lines;
-use hallrelay_relay::reducer::{Effect, Event, OperatorReply, OperatorRequest, Reducer};
+use hallrelay_relay::reducer::{Effect, Event, OperatorReply, OperatorRequest, Reducer, WatchFailure};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 
@@ -288,7 +289,14 @@
                 Event::HealthCheckEnded { server, end, report }
             }
             "store-reopened" => Event::StoreReopened(Box::new(stored_state(words)?)),
-            "endpoint-list" if word(1)? == "watch-failed" => Event::EndpointWatchFailed { watch },
+            "endpoint-list" if word(1)? == "watch-failed" => {
+                let failure = match words.contains(&"refused") {
+                    true => WatchFailure::Refused,
+                    false => WatchFailure::Failed,
+                };
+                Event::EndpointWatchFailed { watch, failure }
+            }
+            "endpoint-list" if word(1)? == "unchanged" => Event::EndpointListUnchanged { watch },
             "endpoint-list" => {
                 let names = words[3..].iter().filter(|word| !word.contains('='));
                 let instances = names.map(|word| {
