An id that may have run once is not placed again after its client has left

Callers saw: a session of a class that must never run twice runs again when its client has left and comes back with the same id, at the same process or at the other one of a hot restart.

Cause: an id was known only while its session lasted, and a successor knew the predecessor's ids only until that process ended.

--- a/balancer/src/dialing.rs
+++ b/balancer/src/dialing.rs
@@ -59,7 +59,7 @@
     /// Records how a session's last dial, or the session established by it, ended: the server's report and
     /// faults, and whether the request may have run.
     pub(crate) fn record_dial_end(&mut self, id: SessionId, end: DialEnd, report: Option<LoadReport>) {
-        let may_have_run = !matches!(end, DialEnd::Unconnected | DialEnd::Full | DialEnd::NotSent);
+        let may_have_run = end.may_have_run();
         if may_have_run {
             self.count_dial(id, end == DialEnd::Ok);
         }
--- a/balancer/src/types.rs
+++ b/balancer/src/types.rs
@@ -180,6 +180,13 @@
     NotSent,
 }
 
+impl DialEnd {
+    /// Whether the server may have executed the request of a dial with this end.
+    pub fn may_have_run(self) -> bool {
+        !matches!(self, DialEnd::Unconnected | DialEnd::Full | DialEnd::NotSent)
+    }
+}
+
 /// A session's request for a server.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct AdmissionRequest {
--- a/hot_restart/src/extension.rs
+++ b/hot_restart/src/extension.rs
@@ -26,6 +26,8 @@
     Draining(bool),
     /// Name of a server in slow start, at which the relay has just used a slot.
     SlotUsed(String),
+    /// Id of a session that was dialled and must not run again.
+    Dialled(u64),
 }
 
 /// Facts about an endpoint list that discovery's format has no place for.
@@ -37,6 +39,9 @@
     /// Servers that were removed from the list, and must not return by the list of another relay.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub removed: Vec<RemovedServer>,
+    /// Ids of ended sessions that must not run again.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub dialled: Vec<u64>,
     /// Whether the sender, an old process, accepts [`Message::EndpointList`] from the new one. Earlier builds
     /// end the hot restart at such a message.
     pub accepts_updates: bool,
--- a/hot_restart/tests/ownership.rs
+++ b/hot_restart/tests/ownership.rs
@@ -328,6 +328,7 @@
         RelayUpdate::Excluded(ExclusionList { log_index: 7, backends: vec!["s-1".into()] }),
         RelayUpdate::Draining(false),
         RelayUpdate::SlotUsed("s-2".into()),
+        RelayUpdate::Dialled(u64::MAX),
     ];
     for update in updates {
         let message = ListExtension::message(update.clone());
@@ -339,6 +340,7 @@
     let extension = ListExtension {
         source: Some("10.0.0.1:8500".into()),
         removed: vec![RemovedServer { name: "s-9".into(), started_at: 5 }],
+        dialled: vec![0, u64::MAX],
         accepts_updates: true,
         update: None,
     };
--- a/relay/src/reducer/balancer_effects.rs
+++ b/relay/src/reducer/balancer_effects.rs
@@ -3,6 +3,7 @@
 use super::session::SessionStage;
 use super::{Effect, Reducer, Timer};
 use hallrelay_balancer::types::{self as balancer, DialEnd, Input, Micros};
+use hallrelay_hot_restart::RelayUpdate;
 
 impl Reducer {
     /// Steps the balancer with an input and carries out its effects.
@@ -22,6 +23,10 @@
                 session.stage = SessionStage::Dialing;
                 session.server = Some(server);
                 session.dials += 1;
+                if session.must_not_repeat && dial == 0 {
+                    let id = session.client_session_id;
+                    self.update_predecessor(RelayUpdate::Dialled(id), out);
+                }
                 if let Some(addr) = self.servers.get(&server).map(|server| server.instance.addr) {
                     self.record_slow_start_slot_use(server, session_id, out);
                     // `self.node` is this relay's configuration. The balancer sets `send_within` only if the
--- a/relay/src/reducer/mod.rs
+++ b/relay/src/reducer/mod.rs
@@ -23,6 +23,7 @@
 mod draining;
 mod events;
 mod excluded_backends;
+mod finished_ids;
 mod first_list;
 mod idle_connections;
 mod latency;
@@ -54,6 +55,7 @@
 pub use membership::MembershipMetrics;
 pub use metrics::{Metrics, Outcomes};
 
+use finished_ids::FinishedIds;
 use hallrelay_balancer::types::{self as balancer, Input, Micros, ServerId, SessionId};
 use hallrelay_balancer::Balancer;
 use hallrelay_config::list::List;
@@ -87,6 +89,8 @@
     sessions: BTreeMap<SessionId, Session>,
     /// The ids that clients gave their sessions, to detect a second use of an id.
     client_session_ids: HashSet<u64>,
+    /// The ids of ended sessions that must not run again.
+    finished_ids: FinishedIds,
     servers: BTreeMap<ServerId, Server>,
     /// The numbers of the servers by their names in the endpoint list.
     ids: BTreeMap<String, ServerId>,
@@ -173,6 +177,7 @@
             now: 0,
             sessions: BTreeMap::new(),
             client_session_ids: HashSet::new(),
+            finished_ids: FinishedIds::default(),
             servers: BTreeMap::new(),
             ids: BTreeMap::new(),
             draining: BTreeSet::new(),
--- a/relay/src/reducer/process_list.rs
+++ b/relay/src/reducer/process_list.rs
@@ -19,14 +19,19 @@
 
 impl Reducer {
     /// Adds to an encoded list of this process what the other process has to know about it.
-    pub(super) fn list_for_process(&self, mut list: Value) -> Value {
+    /// `with_ids` adds the ids of ended sessions that must not run again.
+    pub(super) fn list_for_process(&self, mut list: Value, with_ids: bool) -> Value {
         let removed = self
             .removed_servers
             .iter()
             .map(|(name, &started_at)| RemovedServer { name: name.clone(), started_at });
         let source = Some(self.list_version.source.to_string());
         let removed = removed.collect();
-        ListExtension { source, removed, accepts_updates: true, update: None }.attach(&mut list);
+        let dialled = match with_ids {
+            true => self.finished_ids.iter().collect(),
+            false => Vec::new(),
+        };
+        ListExtension { source, removed, dialled, accepts_updates: true, update: None }.attach(&mut list);
         list
     }
 
@@ -38,7 +43,7 @@
             return;
         }
         let list = list::encode(list.generation, list.is_complete, list.instances.iter());
-        let list = self.list_for_process(list);
+        let list = self.list_for_process(list, false);
         let event = match has_successor {
             true => OwnershipEvent::ListReceived { list },
             false => OwnershipEvent::PredecessorUpdated { message: Message::EndpointList { list } },
@@ -67,6 +72,7 @@
             Some(RelayUpdate::Draining(false)) => {
                 self.apply_lifecycle_event(LifecycleEvent::SuccessorActivated, out);
             }
+            Some(RelayUpdate::Dialled(id)) => self.remember_ids([id]),
             Some(RelayUpdate::SlotUsed(server)) => {
                 self.restore_slots(&[SlowStartSlot { server, age: 0 }], out);
             }
@@ -87,6 +93,7 @@
     /// replaces the configured list unless that is a later version from the same source. Afterwards only a
     /// later version from the same source replaces this process's own list.
     pub(super) fn adopt_predecessor_list(&mut self, list: &Value, out: &mut Vec<Effect>) {
+        self.remember_ids(ListExtension::of(list).dialled);
         let Some(ProcessList { list, source, removed }) = self.parse_process_list(list) else { return };
         let own = self.list_version.at(source);
         let is_answered = self.last_discovery_answer_at.is_some();
--- a/relay/src/reducer/session.rs
+++ b/relay/src/reducer/session.rs
@@ -40,6 +40,10 @@
     pub deadline: Micros,
     /// When the backend last reported a load.
     pub last_load_at: Option<Micros>,
+    /// Whether a second run of the session would not be dropped by its backend.
+    pub must_not_repeat: bool,
+    /// Whether a dial that has ended may have run the session.
+    pub may_have_run: bool,
     /// Whether the session was open at its backend before this process started and is to be resumed there.
     /// The balancer is notified of it only once it is open again.
     pub is_resuming: bool,
--- a/relay/src/reducer/session_handover.rs
+++ b/relay/src/reducer/session_handover.rs
@@ -53,7 +53,9 @@
         let listeners = &self.node.site.listeners;
         // The configuration of this process may no longer have the session's listener, which an open session
         // does not need. The first listener then stands in for it.
-        let listener = listeners.iter().position(|name| *name == state.listener).unwrap_or(0);
+        let known_listener = listeners.iter().position(|name| *name == state.listener);
+        let is_listener_known = known_listener.is_some();
+        let listener = known_listener.unwrap_or(0);
         let SessionState { key, group, returned, .. } = state;
         let request = AdmissionRequest { listener, key, group, returned, time_remaining: 0 };
         let server = self.ids.get(&state.server).copied();
@@ -66,6 +68,8 @@
             dials: 1,
             deadline: self.now,
             last_load_at: None,
+            must_not_repeat: !is_listener_known || self.must_not_repeat(listener),
+            may_have_run: true,
             is_resuming: false,
         };
         self.predecessor_session_ids.remove(&state.id);
--- a/relay/src/reducer/sessions.rs
+++ b/relay/src/reducer/sessions.rs
@@ -67,6 +67,7 @@
     pub(super) fn remove_session(&mut self, session_id: SessionId) -> Option<Session> {
         let session = self.sessions.remove(&session_id)?;
         self.client_session_ids.remove(&session.client_session_id);
+        self.remember_finished(&session);
         self.add_idle_connection(session_id);
         Some(session)
     }
@@ -79,6 +80,7 @@
         time_remaining: Micros,
         out: &mut Vec<Effect>,
     ) {
+        self.log_forgotten_ids(out);
         let Some(listener) = self.valid_listener(&open, time_remaining) else {
             return self.protocol_violation(session_id, out);
         };
@@ -106,6 +108,8 @@
             dials: 0,
             deadline: self.now + timeout,
             last_load_at: None,
+            must_not_repeat: self.must_not_repeat(listener),
+            may_have_run: false,
             is_resuming,
         };
         self.metrics.of_listener(&session.listener).requested += 1;
@@ -124,13 +128,14 @@
     }
 
     /// The listener of a request. `None` if the request violates the protocol: it names an unknown listener,
-    /// the id of another session, or a timeout over the limit. The timeout of a resumed session is not
-    /// checked.
+    /// the id of another session or of one that must not run again, or a timeout over the limit. Of a resumed
+    /// session, whose id may have run, only the listener and other sessions' ids are checked.
     fn valid_listener(&self, open: &SessionRequest, time_remaining: Micros) -> Option<usize> {
         let is_in_use =
             self.client_session_ids.contains(&open.id) || self.predecessor_session_ids.contains(&open.id);
-        let is_timely = open.at.is_some() || time_remaining <= self.node.limits.max_client_timeout;
-        if is_in_use || !is_timely {
+        let is_acceptable =
+            time_remaining <= self.node.limits.max_client_timeout && !self.finished_ids.contains(open.id);
+        if is_in_use || (open.at.is_none() && !is_acceptable) {
             return None;
         }
         self.node.site.listeners.iter().position(|name| *name == open.listener)
@@ -257,6 +262,7 @@
             return;
         }
         let Some(session) = self.sessions.get_mut(&session_id) else { return };
+        session.may_have_run |= end.may_have_run();
         let server = session.server;
         // `Ok`: the backend served the session to its end immediately, and its last line is the final answer.
         let settled = end == DialEnd::Ok;
