--- a/recovery/src/recover.rs
+++ b/recovery/src/recover.rs
@@ -72,10 +72,11 @@
 
 /// Determines the state with which a relay starts.
 ///
-/// A store of another relay is not used; one without a name was created by a hot restart of this relay. Of two lists from the same source, the later version takes
-/// precedence. Versions of different sources cannot be compared, so that the configured list takes precedence
-/// over a stored one of another source. A server that was draining or removed keeps that state until a later
-/// version from the same source changes it or the server has restarted.
+/// A store of another relay is not used; one without a name was created by a hot restart of this relay. Of
+/// two lists from the same source, the later version takes precedence. Versions of different sources cannot
+/// be compared, so that the configured list takes precedence over a stored one of another source. A server
+/// that was draining or removed keeps that state until a later version from the same source changes it or the
+/// server has restarted.
 pub fn recover(input: &RecoverInput) -> Recovered {
     let list = List { is_complete: true, ..input.configured.clone() };
     let recovery = Recovery { input, recovered: Recovered { list, ..Recovered::default() } };
@@ -225,8 +226,8 @@
     }
 
     /// Applies the stored draining or removed state to servers of the list. A state does not apply if the
-    /// list is a later version from the same source than the stored list, in which the state still held, or if
-    /// the server has restarted since.
+    /// list is a later version from the same source than the stored list, in which the state still held, or
+    /// if the server has restarted since.
     fn apply_stored_phases(&mut self, servers: &[&StoredServer]) {
         let generation = self.recovered.list.generation;
         let is_superseded = self.stored_generation().is_some_and(|stored| generation > stored);
--- a/recovery/tests/recover.rs
+++ b/recovery/tests/recover.rs
@@ -202,8 +202,8 @@
     assert_eq!(r.obsolete, []);
 }
 
-/// Guards a drain that came with no new version (of another relay, or of an entry that cannot be read) against
-/// a configured list of the same version as the stored one.
+/// Guards a drain that came with no new version (of another relay, or of an entry that cannot be read)
+/// against a configured list of the same version as the stored one.
 #[test]
 fn stored_drain_holds_against_configured_list_of_same_version() {
     let known = list(9, vec![server("s", Phase::Ready, 100)]);
--- a/relay/src/reducer/finished_ids.rs
+++ b/relay/src/reducer/finished_ids.rs
@@ -1,5 +1,5 @@
-//! The ids of ended sessions that must not run twice. A client that has left may come again with its id, to this
-//! process or to the other one of a hot restart: such a session is not placed.
+//! The ids of ended sessions that must not run twice. A client that has left may come again with its id, to
+//! this process or to the other one of a hot restart: such a session is not placed.
 use super::{log, Effect, Reducer, Session, SessionStage};
 use hallrelay_balancer::types::{Idempotency, KeyScope};
 use std::collections::{HashSet, VecDeque};
--- a/relay/src/reducer/first_list.rs
+++ b/relay/src/reducer/first_list.rs
@@ -1,7 +1,7 @@
-//! The first endpoint list of a process, where lists are pushed. What discovery has counts as known to the relay
-//! from the first moment of the process, but the list of the store or the configuration may be older. The
-//! process therefore serves only after discovery's first answer, and until then neither says that it is ready
-//! nor places a session.
+//! The first endpoint list of a process, where lists are pushed. What discovery has counts as known to the
+//! relay from the first moment of the process, but the list of the store or the configuration may be older.
+//! The process therefore serves only after discovery's first answer, and until then neither says that it is
+//! ready nor places a session.
 use super::sessions::final_answer;
 use super::{log, Effect, Reducer, SessionStage, Timer};
 use hallrelay_balancer::types::{AdmissionRequest, Input, Micros, SessionId};
--- a/relay/src/reducer/persistence.rs
+++ b/relay/src/reducer/persistence.rs
@@ -128,8 +128,8 @@
     }
 
     /// Stores that this dial uses a slot, if its server is in slow start, and tells the predecessor. The dial
-    /// waits for the record, but not longer than a limit, so that a relay that crashes repeatedly stays within
-    /// its rate of dials.
+    /// waits for the record, but not longer than a limit, so that a relay that crashes repeatedly stays
+    /// within its rate of dials.
     pub(super) fn record_slow_start_slot_use(
         &mut self,
         server: ServerId,
--- a/relay/src/reducer/servers.rs
+++ b/relay/src/reducer/servers.rs
@@ -47,9 +47,9 @@
         }
     }
 
-    /// Replaces the entries of a list that cannot be parsed by drains of their servers: such an entry may mean
-    /// that the server drains, so it gets no new sessions. With a complete list that happens anyway, since the
-    /// entry is missing.
+    /// Replaces the entries of a list that cannot be parsed by drains of their servers: such an entry may
+    /// mean that the server drains, so it gets no new sessions. With a complete list that happens anyway,
+    /// since the entry is missing.
     pub(super) fn drain_unreadable_entries(&self, mut list: List, out: &mut Vec<Effect>) -> List {
         let unreadable = std::mem::take(&mut list.unreadable);
         if unreadable.is_empty() {
--- a/relay/src/reducer/store_takeover.rs
+++ b/relay/src/reducer/store_takeover.rs
@@ -37,9 +37,9 @@
         self.begin_service(out);
     }
 
-    /// Combines the known list with the stored one, as a start combines it with the configured one. Discovery's
-    /// answer to this process takes precedence over a list from another source, unless this process resumes:
-    /// the successor has received that list later.
+    /// Combines the known list with the stored one, as a start combines it with the configured one.
+    /// Discovery's answer to this process takes precedence over a list from another source, unless this
+    /// process resumes: the successor has received that list later.
     fn merge_stored_list(&mut self, stored: &StoredState, out: &mut Vec<Effect>) {
         let known = self.known_list();
         let recovered = self.recover_state(&known, stored, out);
--- a/relay/tests/hostile_clients.rs
+++ b/relay/tests/hostile_clients.rs
@@ -267,8 +267,8 @@
         let p99 = times[times.len() * 99 / 100];
         let (memory, peak) = (status_kb(&relay, "VmRSS:"), status_kb(&relay, "VmHWM:"));
         println!(
-            "{}: {bursts} bursts; others: {} answered, {failed} failed, p99 {p99:?}; memory {half_memory} kB at \
-             half, {memory} kB at the end, peak {peak} kB",
+            "{}: {bursts} bursts; others: {} answered, {failed} failed, p99 {p99:?}; memory {half_memory} kB \
+             at half, {memory} kB at the end, peak {peak} kB",
             kind.name,
             times.len()
         );
--- a/relay/tests/ids_run_once.rs
+++ b/relay/tests/ids_run_once.rs
@@ -1,5 +1,5 @@
-//! A session that must run only once does not run again when its id comes back: after its client has left, or at
-//! the other process of a hot restart. Nothing is sent for a client that has left.
+//! A session that must run only once does not run again when its id comes back: after its client has left, or
+//! at the other process of a hot restart. Nothing is sent for a client that has left.
 mod common;
 
 use common::discovery::{endpoint, Discovery};
@@ -89,8 +89,8 @@
     String::from_utf8_lossy(&answer[..read]).trim_end().to_string()
 }
 
-/// Guards rule 2, by which a session that must run only once never runs twice: its client leaves, at some time
-/// before or after the backend has accepted it, and comes again with the same id.
+/// Guards rule 2, by which a session that must run only once never runs twice: its client leaves, at some
+/// time before or after the backend has accepted it, and comes again with the same id.
 #[test]
 fn id_does_not_run_again_after_its_client_has_left() {
     let backend = RecordingBackend::start();
@@ -123,8 +123,8 @@
     assert_eq!(backend.counts(), (1, 1));
 }
 
-/// Guards rule 2 at a hot restart: an id whose session has ended at one process comes to the other one, either
-/// to the successor, or to the old process that serves again after the successor's death.
+/// Guards rule 2 at a hot restart: an id whose session has ended at one process comes to the other one,
+/// either to the successor, or to the old process that serves again after the successor's death.
 #[test]
 fn id_does_not_run_again_at_other_process_of_hot_restart() {
     let backend = RecordingBackend::start();
--- a/relay/tests/recovery.rs
+++ b/relay/tests/recovery.rs
@@ -105,8 +105,9 @@
 fn crash_loop_does_not_spend_slot_per_start() {
     let sessions_by_start = |name: &str, with_store: bool| {
         let mut fixture = start_fixture(name);
-        // Slow start has a slot every 2.9 s at first and every 2.3 s at the end of the test, the first one of a
-        // process after half of that time. Each process runs for longer than half, but shorter than the whole.
+        // Slow start has a slot every 2.9 s at first and every 2.3 s at the end of the test, the first one of
+        // a process after half of that time. Each process runs for longer than half, but shorter than the
+        // whole.
         fixture.config.json["settings"]["Rules"]["Cold"] = json!(100_000);
         let now = std::time::SystemTime::now()
             .duration_since(std::time::UNIX_EPOCH)
--- a/relay/tests/told_drains.rs
+++ b/relay/tests/told_drains.rs
@@ -1,6 +1,6 @@
-//! A backend that a relay was told to drain gets no new session, however the next process of the relay begins:
-//! cold, by a hot restart, by a hot restart that fails, or after discovery has moved. Discovery answers no
-//! further call in these tests, so that only what the earlier process was told can keep the drain.
+//! A backend that a relay was told to drain gets no new session, however the next process of the relay
+//! begins: cold, by a hot restart, by a hot restart that fails, or after discovery has moved. Discovery
+//! answers no further call in these tests, so that only what the earlier process was told can keep the drain.
 mod common;
 
 use common::discovery::{endpoint, Discovery};
@@ -65,7 +65,8 @@
         vec![endpoint("s-0", first, "draining", 0), endpoint("s-1", second, "up", 0)]
     }
 
-    /// Publishes entries that end new sessions at `s-0`, waits until the relay heeds them, and stops discovery.
+    /// Publishes entries that end new sessions at `s-0`, waits until the relay heeds them, and stops
+    /// discovery.
     fn tell(&self, entries: Vec<Value>) {
         self.discovery.publish(entries);
         wait_until("the relay heeds the drain", || self.sessions_at_drained() == 0);
@@ -190,8 +191,8 @@
     drop(new);
 }
 
-/// Guards a drain in a store that a hot restart created, against the next start: the store had no identity, so
-/// its records were discarded.
+/// Guards a drain in a store that a hot restart created, against the next start: the store had no identity,
+/// so its records were discarded.
 #[test]
 fn drain_outlasts_kill_with_store_created_by_hot_restart() {
     let mut fixture = Fixture::new("new-store");
@@ -223,8 +224,8 @@
     drop(newest);
 }
 
-/// Guards a drain of before the start of a process, where lists are pushed, against a discovery service that turns
-/// the first calls away: the relay must not serve by its older list.
+/// Guards a drain of before the start of a process, where lists are pushed, against a discovery service that
+/// turns the first calls away: the relay must not serve by its older list.
 #[test]
 fn drain_before_start_holds_where_lists_are_pushed() {
     let mut fixture = Fixture::new("pushed");
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -16,8 +16,8 @@
 //!   `process NUMBER endpoint-list VERSION NAME[:LIFECYCLE] ..`, `process NUMBER slot-used NAME`,
 //!   `endpoint-list snapshot|delta VERSION NAME[:draining|:removed|:up@STARTED_MS] ..`,
 //!   `store-reopened VERSION NAME[:LIFECYCLE] ..` (the store, opened by this process, with this list),
-//!   `endpoint-list watch-failed` (of the newest watch or of `watch=WATCH`; with `refused` at the end, nothing
-//!   accepts connections at discovery's address), `endpoint-list unchanged`,
+//!   `endpoint-list watch-failed` (of the newest watch or of `watch=WATCH`; with `refused` at the end, a
+//!   connect to discovery was refused), `endpoint-list unchanged`,
 //!   `operator-call NUMBER readiness|metrics|drain|activate`, `configuration-reloaded PORT [KEY=VALUE]`
 //!   (discovery is at this port), `tuning-reloaded LISTENER:EFFECT .. [dials=N] [timeout=MS]`,
 //!   `configuration-rejected`, `stop-requested`, `advance`.
@@ -30,6 +30,8 @@
 //! configuration after the key at this path was removed or set to the value.
 mod loopback;
 mod membership;
+mod reply;
+mod stored;
 
 pub use loopback::LoopbackSubject;
 pub use membership::MembershipSubject;
@@ -42,11 +44,12 @@
 use hallrelay_config::node::{self, Node, Overrides};
 use hallrelay_hot_restart::message::VERSION;
 use hallrelay_hot_restart::{ListExtension, Message, OwnershipEvent, RelayState, RelayUpdate, SessionState};
-use hallrelay_recovery::{Record, StoredState};
 use hallrelay_relay::lines;
-use hallrelay_relay::reducer::{Effect, Event, OperatorReply, OperatorRequest, Reducer, WatchFailure};
+use hallrelay_relay::reducer::{Effect, Event, OperatorRequest, Reducer, WatchFailure};
+use reply::reply_text;
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
+use stored::stored_state;
 
 fn listener_json(name: &str, utility: f64, effect: &str) -> Value {
     json!({"Name": name, "Utility": utility, "Effect": effect, "Group": "all", "Window": 1000,
@@ -346,29 +349,6 @@
     }
 }
 
-/// The content of a store with an endpoint list, given as `store-reopened VERSION NAME[:LIFECYCLE] ..`.
-fn stored_state(words: &[&str]) -> Result<StoredState, Fault> {
-    let generation = parse_number(words.get(1).ok_or("store-reopened lacks a version")?)?;
-    let instances: Vec<Value> = words[2..]
-        .iter()
-        .map(|word| {
-            let (id, lifecycle) = word.split_once(':').unwrap_or((word, "up"));
-            json!({"instanceId": id, "hostPort": addr_of(id), "lifecycle": lifecycle, "startedAtMs": 0})
-        })
-        .collect();
-    let list = json!({"generation": generation, "reset": true, "instances": instances});
-    let list = hallrelay_config::list::parse(list.to_string().as_bytes()).map_err(|e| e.to_string())?;
-    let mut records =
-        vec![Record::relay_identity("n1", 1, 0), Record::list_version("127.0.0.1:2", generation)];
-    records.extend(list.instances.iter().map(|instance| Record::server(generation, 0, instance)));
-    let mut stored = StoredState::default();
-    for record in records {
-        let bytes = record.bytes.unwrap_or_default();
-        stored.add(record.kind.number(), hallrelay_recovery::record::VERSION, record.name.as_bytes(), &bytes);
-    }
-    Ok(stored)
-}
-
 fn operator_request(word: &str) -> Result<OperatorRequest, Fault> {
     let requests = [
         ("readiness", OperatorRequest::Readiness),
@@ -383,27 +363,6 @@
         .ok_or(format!("unknown operator request '{word}'"))
 }
 
-/// The text of a reply. Metrics are joined to one line, and metrics with the value 0 are left out.
-fn reply_text(reply: &OperatorReply) -> String {
-    match reply {
-        OperatorReply::Accepted(word) => format!("accepted {word}"),
-        OperatorReply::Unavailable(word) => format!("unavailable {word}"),
-        OperatorReply::Conflict(word) => format!("conflict {word}"),
-        OperatorReply::Blocked(reason) => format!("blocked {reason}"),
-        OperatorReply::Committed(command) => format!("committed {command}"),
-        OperatorReply::Leases(leases) => format!("leases {}", leases.as_deref().unwrap_or("none")),
-        OperatorReply::Membership(status) => {
-            format!("membership {}", status.as_ref().map_or("none", |s| s.view.as_str()))
-        }
-        OperatorReply::Metrics(metrics) => {
-            let text = hallrelay_relay::metrics::text(metrics);
-            let lines = text.lines().filter(|line| !line.contains(":0|"));
-            let lines: Vec<_> = lines.map(|line| line.trim_start_matches("node.")).collect();
-            format!("metrics {}", lines.join(" "))
-        }
-    }
-}
-
 impl Subject for ReducerSubject {
     fn set_site(&mut self, words: &[&str]) -> Result<(), Fault> {
         let known = option(words, "known").ok_or("the site line lacks known=NAME,NAME")?;
