The list, exclusions and every beginning of a process; a start without a ready server

Cause: tests of each beginning (restart, hot restart, failed hot restart, reload to a discovery that does not answer, and the latter two followed by one of the former), each with and without discovery, found one case more: after a reload and a restart with all configured servers removed, the relay knew no server until discovery answered, since a stored list of another source was not used at all.

Change: if no server of the configured list is ready, stored servers of another source are added.

--- a/recovery/src/recover.rs
+++ b/recovery/src/recover.rs
@@ -134,6 +134,7 @@
         self.choose_list(&servers);
         self.find_unstored();
         self.apply_stored_phases(&servers);
+        self.add_stored_if_none_is_ready(&servers);
         self.recover_slow_start_slots();
         if self.age(stored.last_written_at).is_none() {
             let (now, last) = (self.input.now, stored.last_written_at);
@@ -247,6 +248,23 @@
         }
     }
 
+    /// Adds the stored servers of another source if the list has no ready server: the relay could place no
+    /// session until discovery answers.
+    fn add_stored_if_none_is_ready(&mut self, servers: &[&StoredServer]) {
+        let listed = &self.recovered.list.instances;
+        if self.stored_generation().is_some() || listed.iter().any(|server| server.phase == Phase::Ready) {
+            return;
+        }
+        let is_listed = |id: &str| listed.iter().any(|server| server.id == id);
+        let stored = servers.iter().map(|server| &server.instance);
+        let added: Vec<Instance> =
+            stored.filter(|server| server.phase == Phase::Ready && !is_listed(&server.id)).cloned().collect();
+        if !added.is_empty() {
+            self.log(format!("no configured server is ready: using {} servers from the store", added.len()));
+            self.recovered.list.instances.extend(added);
+        }
+    }
+
     fn recover_slow_start_slots(&mut self) {
         for (server, used_at) in &self.input.stored.slow_start_slots {
             match self.trusted_age(RecordKind::SlowStartSlot, *used_at) {
--- a/recovery/tests/recover.rs
+++ b/recovery/tests/recover.rs
@@ -202,6 +202,29 @@
     assert_eq!(r.obsolete, []);
 }
 
+/// Guards a relay against a start without any server, after discovery has moved and all configured servers have
+/// been removed: it uses the servers that it was told last.
+#[test]
+fn stored_servers_are_used_if_no_configured_server_is_ready() {
+    let known = list(7, vec![server("s", Phase::Ready, 100)]);
+    let other = Record::server(9, NOW, &server("t", Phase::Ready, 100));
+    let ids = |s_phase| {
+        let records = [
+            identity(),
+            Record::list_version("10.0.0.2:1", 9),
+            server_record(9, s_phase, 100),
+            other.clone(),
+        ];
+        let r = recovered(&known, &records);
+        let ready = r.list.instances.into_iter().filter(|server| server.phase == Phase::Ready);
+        ready.map(|server| server.id).collect::<Vec<String>>()
+    };
+    assert_eq!(ids(Phase::Gone), ["t"]);
+    assert_eq!(ids(Phase::Draining), ["t"]);
+    // The configured list takes precedence as long as it has a ready server.
+    assert_eq!(ids(Phase::Ready), ["s"]);
+}
+
 /// Guards a drain that came with no new version (of another relay, or of an entry that cannot be read)
 /// against a configured list of the same version as the stored one.
 #[test]
--- a/relay/tests/drains.rs
+++ b/relay/tests/drains.rs
@@ -235,3 +235,48 @@
     wait_until("both relays list the lease", || lease_id(0).is_some() && lease_id(1).is_some());
     assert_eq!(lease_id(0), lease_id(1), "the same log must give the same lease IDs");
 }
+
+/// Guards an excluded backend (one that operators drain for the fleet) against every way in which the next
+/// process of a relay begins, while no other relay can tell it: the others are stopped.
+#[test]
+fn excluded_backend_outlasts_every_beginning_of_a_process() {
+    for begin in ["restart", "hot restart", "failed hot restart"] {
+        let mut fleet = Fleet::start_in_service(&begin.replace(' ', "-"), 3, 3, &one_of_each_kind());
+        // The successor that will fail is there when the backend is drained, and learns of the drain alone.
+        let successor = (begin == "failed hot restart").then(|| {
+            let successor = fleet.configs[2].start();
+            successor.wait_until_ready();
+            successor
+        });
+        wait_until("the backend is drained", || {
+            post(fleet.relay(0), "/v1/backend/drain", &json!({"backend": "b-1", "by": "ann", "why": "disks"}))
+                .0
+                == 200
+        });
+        let address = fleet.configs[2].listen_address;
+        let sessions_at_excluded = |fleet: &Fleet| {
+            let before = fleet.backends[1].opened();
+            let established = (0..20).filter(|_| Client::open(address, "low").is_ok()).count();
+            assert!(established > 10, "{begin}: only {established} sessions were established");
+            fleet.backends[1].opened() - before
+        };
+        wait_until("the relay heeds the drain", || sessions_at_excluded(&fleet) == 0);
+        (0..2).for_each(|i| fleet.relay(i).signal("STOP"));
+        let newest = match (begin, successor) {
+            (_, Some(mut successor)) => {
+                successor.child.kill().expect("kill the successor");
+                wait_until("the old process serves again", || fleet.relay(2).is_ready());
+                None
+            }
+            ("restart", None) => {
+                fleet.kill(2);
+                fleet.start_relay(2);
+                fleet.relay(2).wait_until_ready();
+                None
+            }
+            _ => Some(fleet.configs[2].start()).inspect(RelayProcess::wait_until_ready),
+        };
+        assert_eq!(sessions_at_excluded(&fleet), 0, "sessions at the excluded backend after a {begin}");
+        drop(newest);
+    }
+}
--- a/relay/tests/told_drains.rs
+++ b/relay/tests/told_drains.rs
@@ -81,6 +81,13 @@
         wait_until("the file is loaded", || relay.metric("loads") == Some(1));
     }
 
+    /// Number of sessions that a batch of new sessions brings to each backend.
+    fn sessions_by_backend(&self) -> [u64; 2] {
+        let before = self.backends.each_ref().map(CountingBackend::opened);
+        (0..SESSIONS).for_each(|_| _ = Client::open(self.config.listen_address, "low"));
+        [0, 1].map(|i| self.backends[i].opened() - before[i])
+    }
+
     fn assert_drain_holds(&self, begin: &str) {
         assert_eq!(self.sessions_at_drained(), 0, "the drained backend must get no session after {begin}");
     }
@@ -239,3 +246,83 @@
     relay.wait_until_ready();
     fixture.assert_drain_holds("the start");
 }
+
+/// A way in which the process that serves next begins.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Begin {
+    Restart,
+    HotRestart,
+    FailedHotRestart,
+    Reload,
+    ReloadThenHotRestart,
+    ReloadThenRestart,
+}
+
+const ALL_BEGINS: [Begin; 6] = [
+    Begin::Restart,
+    Begin::HotRestart,
+    Begin::FailedHotRestart,
+    Begin::Reload,
+    Begin::ReloadThenHotRestart,
+    Begin::ReloadThenRestart,
+];
+
+/// Tells a relay that `s-0` is in the given state and that `s-1`, unknown before, is up; then lets the next
+/// process begin, with discovery answering or not, and checks which backends get sessions.
+fn list_outlasts(begin: Begin, lifecycle: &str, discovery_answers: bool) {
+    let name = format!("{begin:?}-{lifecycle}-{discovery_answers}");
+    let mut fixture = Fixture::with_store(&name);
+    let instances = fixture.config.json["known"]["instances"].as_array_mut().expect("the list is an array");
+    instances.truncate(1);
+    let first = vec![endpoint("s-0", &fixture.backends[0], "up", 0)];
+    fixture.discovery.publish(first);
+    let old = fixture.start();
+    let mut processes = vec![old];
+    if begin == Begin::FailedHotRestart {
+        processes.push(fixture.start());
+    }
+    fixture.discovery.publish(vec![
+        endpoint("s-0", &fixture.backends[0], lifecycle, 0),
+        endpoint("s-1", &fixture.backends[1], "up", 0),
+    ]);
+    wait_until("the relay heeds the list", || {
+        let [first, second] = fixture.sessions_by_backend();
+        first == 0 && second > 0
+    });
+    // The store is written within some milliseconds of the list.
+    std::thread::sleep(std::time::Duration::from_millis(100));
+    if !discovery_answers {
+        fixture.discovery.stop_answering();
+    }
+    if matches!(begin, Begin::Reload | Begin::ReloadThenHotRestart | Begin::ReloadThenRestart) {
+        fixture.move_discovery(&processes[0]);
+    }
+    let last = processes.pop().expect("a process runs");
+    match begin {
+        Begin::Reload => processes.push(last),
+        Begin::HotRestart | Begin::ReloadThenHotRestart => processes.extend([last, fixture.start()]),
+        Begin::Restart | Begin::ReloadThenRestart => {
+            kill(last);
+            processes.push(fixture.start());
+        }
+        Begin::FailedHotRestart => {
+            kill(last);
+            wait_until("the old process serves again", || processes[0].is_ready());
+        }
+    }
+    let [first, second] = fixture.sessions_by_backend();
+    assert!(first == 0 && second > 0, "{name}: {first} sessions at s-0, {second} at s-1");
+}
+
+/// Guards the list that a relay was told (a drain, a removal, a new backend) against every way in which the
+/// next process begins, with and without discovery.
+#[test]
+fn list_outlasts_every_beginning_of_a_process() {
+    for begin in ALL_BEGINS {
+        for lifecycle in ["draining", "removed"] {
+            for discovery_answers in [true, false] {
+                list_outlasts(begin, lifecycle, discovery_answers);
+            }
+        }
+    }
+}
