Tests that kill a process wait until the entry is stored

Cause: handed_over_drain_outlasts_kill_of_successor_with_new_store failed once in some 50 runs, beside a test that then hung for 10 s; 32 further runs of the file, four beside each other, did not show it again. The test killed the process some 0.1 s after the list was heeded, and a sync of a busy disk may take longer: not proven. Change: the tests poll the store until it has the entry, instead of a pause. No assertion changed.

--- a/relay/tests/told_drains.rs
+++ b/relay/tests/told_drains.rs
@@ -9,6 +9,7 @@
 };
 use serde_json::{json, Value};
 use std::net::TcpStream;
+use std::process::Command;
 
 /// Number of sessions by which a test sees whether a backend gets any.
 const SESSIONS: usize = 20;
@@ -88,6 +89,18 @@
         [0, 1].map(|i| self.backends[i].opened() - before[i])
     }
 
+    /// Waits until the store has the entry of `s-0` in this state. A kill before that may lose the entry.
+    fn wait_until_stored(&self, lifecycle: &str) {
+        let export = || {
+            let mut command = Command::new(env!("CARGO_BIN_EXE_hallrelay"));
+            let output = common::run_to_end(
+                command.args(["store", "export"]).arg(self.config.directory.join("state")),
+            );
+            String::from_utf8_lossy(&output.stdout).into_owned()
+        };
+        wait_until("the entry is stored", || export().contains(&format!("\"lifecycle\":\"{lifecycle}\"")));
+    }
+
     fn assert_drain_holds(&self, begin: &str) {
         assert_eq!(self.sessions_at_drained(), 0, "the drained backend must get no session after {begin}");
     }
@@ -129,6 +142,7 @@
     let mut fixture = Fixture::with_store("moved-kill");
     let old = fixture.start();
     fixture.tell(fixture.drained());
+    fixture.wait_until_stored("draining");
     fixture.move_discovery(&old);
     kill(old);
     let new = fixture.start();
@@ -190,8 +204,7 @@
     let mut entries = fixture.drained();
     entries[0]["lifecycle"] = json!(7);
     fixture.tell(entries);
-    // The store is written within some milliseconds of the list.
-    std::thread::sleep(std::time::Duration::from_millis(200));
+    fixture.wait_until_stored("draining");
     kill(old);
     let new = fixture.start();
     fixture.assert_drain_holds("the restart");
@@ -209,6 +222,7 @@
     fixture.tell(fixture.drained());
     old.signal("TERM");
     wait_until("the old process exits", || old.has_exited());
+    fixture.wait_until_stored("draining");
     kill(new);
     let newest = fixture.start();
     fixture.assert_drain_holds("the restart");
@@ -225,6 +239,7 @@
     let new = fixture.start();
     old.signal("TERM");
     wait_until("the old process exits", || old.has_exited());
+    fixture.wait_until_stored("draining");
     kill(new);
     let newest = fixture.start();
     fixture.assert_drain_holds("the restart");
@@ -289,8 +304,7 @@
         let [first, second] = fixture.sessions_by_backend();
         first == 0 && second > 0
     });
-    // The store is written within some milliseconds of the list.
-    std::thread::sleep(std::time::Duration::from_millis(100));
+    fixture.wait_until_stored(lifecycle);
     if !discovery_answers {
         fixture.discovery.stop_answering();
     }
