--- a/hot_restart/src/extension.rs
+++ b/hot_restart/src/extension.rs
@@ -1,4 +1,4 @@
-//! What one process tells the other about an endpoint list beyond the list itself. It is attached to the list
+//! What one process sends the other about an endpoint list beyond the list itself. It is attached to the list
 //! as one more key: earlier builds reject a message with an unknown key, but ignore unknown keys of a list.
 use crate::message::{ExclusionList, Message};
 use serde::{Deserialize, Serialize};
@@ -16,7 +16,8 @@
     pub started_at: u64,
 }
 
-/// What the new process was told, or has used, since it took over. The old process may have to serve again.
+/// What the new process has received, or has used, since it took over. The old process may have to serve
+/// again.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RelayUpdate {
--- a/hot_restart/src/ownership.rs
+++ b/hot_restart/src/ownership.rs
@@ -46,7 +46,7 @@
         /// The list in the format of discovery.
         list: Value,
     },
-    /// This process was told or has used something that the predecessor would need if it served again.
+    /// This process has received or has used something that the predecessor would need if it served again.
     PredecessorUpdated {
         /// The message.
         message: Message,
@@ -168,7 +168,7 @@
         }
     }
 
-    /// Whether the predecessor still runs and accepts what this process is told.
+    /// Whether the predecessor still runs and accepts updates of this process.
     pub fn updates_predecessor(&self) -> bool {
         self.updated_predecessor().is_some()
     }
--- a/relay/src/reducer/persistence.rs
+++ b/relay/src/reducer/persistence.rs
@@ -127,7 +127,7 @@
         left_out.map(|instance| Instance { phase: Phase::Gone, ..instance.clone() }).collect()
     }
 
-    /// Stores that this dial uses a slot, if its server is in slow start, and tells the predecessor. The dial
+    /// Stores that this dial uses a slot, if its server is in slow start, and notifies the predecessor. The dial
     /// waits for the record, but not longer than a limit, so that a relay that crashes repeatedly stays
     /// within its rate of dials.
     pub(super) fn record_slow_start_slot_use(
--- a/relay/src/reducer/process_list.rs
+++ b/relay/src/reducer/process_list.rs
@@ -1,5 +1,5 @@
-//! The endpoint list between the two processes of a hot restart. Both are one relay: what discovery or other
-//! relays have told one of them holds for the other.
+//! The endpoint list between the two processes of a hot restart. Both are one relay: what one of them
+//! has received from discovery or other relays holds for the other.
 use super::lifecycle::LifecycleEvent;
 use super::watch::ListVersion;
 use super::{Effect, Reducer};
@@ -51,7 +51,7 @@
         self.apply_ownership_event(event, out);
     }
 
-    /// Tells a predecessor that may have to serve again what this process was told or has used.
+    /// Notifies a predecessor that may have to serve again of what this process has received or used.
     pub(super) fn update_predecessor(&mut self, update: RelayUpdate, out: &mut Vec<Effect>) {
         if self.ownership.updates_predecessor() {
             let message = ListExtension::message(update);
--- a/relay/tests/drains.rs
+++ b/relay/tests/drains.rs
@@ -237,7 +237,7 @@
 }
 
 /// Guards an excluded backend (one that operators drain for the fleet) against every way in which the next
-/// process of a relay begins, while no other relay can tell it: the others are stopped.
+/// process of a relay begins, while no other relay can notify it: the others are stopped.
 #[test]
 fn excluded_backend_outlasts_every_beginning_of_a_process() {
     for begin in ["restart", "hot restart", "failed hot restart"] {
--- a/relay/tests/ids_run_once.rs
+++ b/relay/tests/ids_run_once.rs
@@ -145,7 +145,7 @@
     drop(open_at_restart);
     (1..=6).for_each(|id| refused(config.listen_address, id));
     (11..=15).for_each(|id| run(config.listen_address, id));
-    // The successor tells its predecessor at once.
+    // The successor notifies its predecessor immediately.
     std::thread::sleep(Duration::from_millis(100));
     new.child.kill().expect("kill the relay process");
     new.child.wait().expect("wait for the relay process");
--- a/relay/tests/told_drains.rs
+++ b/relay/tests/process_starts.rs
@@ -1,6 +1,6 @@
-//! A backend that a relay was told to drain gets no new session, however the next process of the relay
+//! A backend that a relay was notified to drain gets no new session, however the next process of the relay
 //! begins: cold, by a hot restart, by a hot restart that fails, or after discovery has moved. Discovery
-//! answers no further call in these tests, so that only what the earlier process was told can keep the drain.
+//! answers no further call in these tests, so that only what the earlier process received can keep the drain.
 mod common;
 
 use common::discovery::{endpoint, Discovery};
@@ -23,7 +23,7 @@
 
 impl Fixture {
     fn new(name: &str) -> Fixture {
-        let mut config = RelayConfig::new(&format!("told-{name}"));
+        let mut config = RelayConfig::new(&format!("starts-{name}"));
         let backends = [CountingBackend::start(), CountingBackend::start()];
         let up = vec![endpoint("s-0", &backends[0], "up", 0), endpoint("s-1", &backends[1], "up", 0)];
         let discovery = Discovery::start(up.clone());
@@ -68,7 +68,7 @@
 
     /// Publishes entries that end new sessions at `s-0`, waits until the relay heeds them, and stops
     /// discovery.
-    fn tell(&self, entries: Vec<Value>) {
+    fn publish_and_stop(&self, entries: Vec<Value>) {
         self.discovery.publish(entries);
         wait_until("the relay heeds the drain", || self.sessions_at_drained() == 0);
         self.discovery.stop_answering();
@@ -116,7 +116,7 @@
 fn drain_outlasts_hot_restart() {
     let mut fixture = Fixture::new("hot-restart");
     let old = fixture.start();
-    fixture.tell(fixture.drained());
+    fixture.publish_and_stop(fixture.drained());
     let new = fixture.start();
     fixture.assert_drain_holds("the hot restart");
     drop((old, new));
@@ -128,7 +128,7 @@
 fn drain_outlasts_hot_restart_after_move_of_discovery() {
     let mut fixture = Fixture::new("moved-hot-restart");
     let old = fixture.start();
-    fixture.tell(fixture.drained());
+    fixture.publish_and_stop(fixture.drained());
     fixture.move_discovery(&old);
     fixture.assert_drain_holds("the move");
     let new = fixture.start();
@@ -141,7 +141,7 @@
 fn drain_outlasts_kill_after_move_of_discovery() {
     let mut fixture = Fixture::with_store("moved-kill");
     let old = fixture.start();
-    fixture.tell(fixture.drained());
+    fixture.publish_and_stop(fixture.drained());
     fixture.wait_until_stored("draining");
     fixture.move_discovery(&old);
     kill(old);
@@ -150,7 +150,7 @@
     drop(new);
 }
 
-/// Guards a drain that only the successor was told of, by its own discovery, against the successor's death:
+/// Guards a drain that only the successor received, from its own discovery, against the successor's death:
 /// the old process serves again.
 fn drain_outlasts_failed_hot_restart(mut fixture: Fixture) {
     let old_discovery = Discovery::start(fixture.drained());
@@ -160,7 +160,7 @@
     let old = fixture.start();
     fixture.config.json["discovery"] = new_discovery;
     let new = fixture.start();
-    fixture.tell(fixture.drained());
+    fixture.publish_and_stop(fixture.drained());
     kill(new);
     wait_until("the old process serves again", || old.is_ready());
     fixture.assert_drain_holds("the failed hot restart");
@@ -184,7 +184,7 @@
     let old = fixture.start();
     let new = fixture.start();
     assert_eq!(new.request("POST", "/v1/relay/drain").0, 200);
-    // The successor tells its predecessor at once.
+    // The successor notifies its predecessor immediately.
     std::thread::sleep(std::time::Duration::from_millis(200));
     kill(new);
     wait_until("the old process owns the socket", || {
@@ -203,7 +203,7 @@
     let old = fixture.start();
     let mut entries = fixture.drained();
     entries[0]["lifecycle"] = json!(7);
-    fixture.tell(entries);
+    fixture.publish_and_stop(entries);
     fixture.wait_until_stored("draining");
     kill(old);
     let new = fixture.start();
@@ -219,7 +219,7 @@
     let mut old = fixture.start();
     fixture.add_store();
     let new = fixture.start();
-    fixture.tell(fixture.drained());
+    fixture.publish_and_stop(fixture.drained());
     old.signal("TERM");
     wait_until("the old process exits", || old.has_exited());
     fixture.wait_until_stored("draining");
@@ -234,7 +234,7 @@
 fn handed_over_drain_outlasts_kill_of_successor_with_new_store() {
     let mut fixture = Fixture::new("handed-over");
     let mut old = fixture.start();
-    fixture.tell(fixture.drained());
+    fixture.publish_and_stop(fixture.drained());
     fixture.add_store();
     let new = fixture.start();
     old.signal("TERM");
@@ -328,8 +328,8 @@
     assert!(first == 0 && second > 0, "{name}: {first} sessions at s-0, {second} at s-1");
 }
 
-/// Guards the list that a relay was told (a drain, a removal, a new backend) against every way in which the
-/// next process begins, with and without discovery.
+/// Guards the list that a relay has received (a drain, a removal, a new backend) against every way in which
+/// the next process begins, with and without discovery.
 #[test]
 fn list_outlasts_every_beginning_of_a_process() {
     for begin in ALL_BEGINS {
