--- a/relay/src/net/interleaving_tests/endpoint_watch.rs
+++ b/relay/src/net/interleaving_tests/endpoint_watch.rs
@@ -50,6 +50,14 @@
     }
 }
 
+/// Sends a blank line as a call's first data, which shows that the known list is discovery's. This is
+/// reported once.
+async fn send_first_blank_line(call: &mut Peer, events: &mut mpsc::Receiver<Event>) {
+    call.send(&chunk("\n")).await;
+    let event = await_soon("event of an unchanged list", events.recv()).await;
+    assert!(matches!(event, Some(Event::EndpointListUnchanged { watch: 1 })), "{event:?}");
+}
+
 const INDENTED: &str =
     "{\n  \"generation\": 4,\n  \"reset\": false,\n  \"instances\": [\n    {\n      \"instanceId\": \
     \"s-1\",\n\n      \"hostPort\": \"127.0.0.1:9\",\n      \"lifecycle\": \"draining\"\n    }\n  ]\n}\n";
@@ -100,7 +108,7 @@
     run_test(|_| async {
         let service = bind_local().await;
         let (mut events, mut first) = watch(&service).await;
-        first.send(&chunk("\n")).await;
+        send_first_blank_line(&mut first, &mut events).await;
         let mut second = accept_call(&service, 3).await;
         first.send(&chunk(&line(4))).await;
         assert_eq!(next_list(&mut events).await.generation, 4);
@@ -145,7 +153,7 @@
     run_test(|_| async {
         let service = bind_local().await;
         let (mut events, mut first) = watch(&service).await;
-        first.send(&chunk("\n")).await;
+        send_first_blank_line(&mut first, &mut events).await;
         let mut second = accept_call(&service, 3).await;
         drop(first);
         assert!(timeout(Duration::from_millis(50), events.recv()).await.is_err(), "the watch ended");
