A foreign store that a hot restart opens is completed as an empty one

Cause: discards the records of another relay's store, but then compared what this process knows with these very records: the list's version was not written if both relays have the same one, and servers that only the other relay knew were stored as removed. Servers that a store lacks were written twice. Whether a store is this relay's was asked in three places.

Change: `StoredState::belongs_to` answers that for all three; a foreign store counts as empty once its records are discarded; `recover_state` no longer writes servers, which the start does, and `store_missing_facts` at a takeover.

--- a/recovery/src/recover.rs
+++ b/recovery/src/recover.rs
@@ -80,7 +80,7 @@
 pub fn recover(input: &RecoverInput) -> Recovered {
     let list = List { is_complete: true, ..input.configured.clone() };
     let recovery = Recovery { input, recovered: Recovered { list, ..Recovered::default() } };
-    if input.stored.relay_name.as_deref().is_some_and(|owner| owner != input.relay_name) {
+    if !input.stored.belongs_to(input.relay_name) {
         return recovery.discard_foreign_store();
     }
     recovery.recover_own_store()
--- a/recovery/src/stored.rs
+++ b/recovery/src/stored.rs
@@ -54,6 +54,11 @@
 }
 
 impl StoredState {
+    /// Whether the store belongs to this relay. One without a name was created by a hot restart of the relay.
+    pub fn belongs_to(&self, relay_name: &str) -> bool {
+        self.relay_name.as_deref().is_none_or(|owner| owner == relay_name)
+    }
+
     /// Adds a record of the store, given the number of its kind, the version of its encoding, its name and
     /// content.
     pub fn add(&mut self, kind: u8, version: u8, name: &[u8], bytes: &[u8]) {
--- a/relay/src/reducer/mod.rs
+++ b/relay/src/reducer/mod.rs
@@ -204,6 +204,7 @@
         // The records of another relay's store are discarded before the voter writes its own.
         let recovered = stored.as_ref().map(|stored| self.recover_state(&configured, stored, out));
         let recovered = recovered.unwrap_or_default();
+        self.persist_unstored(&recovered, out);
         self.start_voter(stored.as_deref(), out);
         self.start_review(out);
         let stored_list = (!recovered.list.instances.is_empty()).then(|| recovered.list.clone());
--- a/relay/src/reducer/persistence.rs
+++ b/relay/src/reducer/persistence.rs
@@ -20,8 +20,8 @@
         out.push(Effect::Persist { record, before: None });
     }
 
-    /// Combines a list, which has the source of `list_version`, with the stored state, and updates the store:
-    /// obsolete records are removed, and servers that are not stored yet are added.
+    /// Combines a list, which has the source of `list_version`, with the stored state, and removes obsolete
+    /// records from the store.
     pub(super) fn recover_state(
         &mut self,
         list: &List,
@@ -45,10 +45,14 @@
         for server in std::mem::take(&mut recovered.removed) {
             self.removed_servers.insert(server.name, server.started_at);
         }
+        recovered
+    }
+
+    /// Stores the servers of the recovered list that are not stored yet.
+    pub(super) fn persist_unstored(&mut self, recovered: &Recovered, out: &mut Vec<Effect>) {
         for instance in &recovered.unstored {
             self.persist(Record::server(recovered.list.generation, self.now, instance), out);
         }
-        recovered
     }
 
     /// Marks the stored slots as used, at servers in slow start, unless this process has used a later one.
--- a/relay/src/reducer/store_takeover.rs
+++ b/relay/src/reducer/store_takeover.rs
@@ -32,7 +32,12 @@
     /// Handles the content of the store that this process owns from now on.
     pub(super) fn store_reopened(&mut self, stored: &StoredState, out: &mut Vec<Effect>) {
         self.merge_stored_list(stored, out);
-        self.store_missing_facts(stored, out);
+        if stored.belongs_to(&self.node.name) {
+            self.store_missing_facts(stored, out);
+        } else {
+            // The records of the other relay were discarded.
+            self.store_missing_facts(&StoredState::default(), out);
+        }
         self.start_voter(Some(stored), out);
         self.begin_service(out);
     }
--- a/relay/src/reducer/voter_host.rs
+++ b/relay/src/reducer/voter_host.rs
@@ -21,8 +21,7 @@
     /// over.
     pub(super) fn start_voter(&mut self, stored: Option<&StoredState>, out: &mut Vec<Effect>) {
         let now = self.now;
-        let own_name = self.node.name.clone();
-        let own = stored.filter(|stored| stored.relay_name.as_ref().is_none_or(|name| *name == own_name));
+        let own = stored.filter(|stored| stored.belongs_to(&self.node.name));
         if let Some(stored) = own {
             let exclusions = &stored.exclusions;
             self.exclude_backends(exclusions.log_index, exclusions.backends.clone(), out);
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -15,7 +15,8 @@
 //!   `process NUMBER hello|ready|disconnected`, `process NUMBER take-over [draining_age=MS] [id=ID]`,
 //!   `process NUMBER endpoint-list VERSION NAME[:LIFECYCLE] ..`, `process NUMBER slot-used NAME`,
 //!   `endpoint-list snapshot|delta VERSION NAME[:draining|:removed|:up@STARTED_MS] ..`,
-//!   `store-reopened VERSION NAME[:LIFECYCLE] ..` (the store, opened by this process, with this list),
+//!   `store-reopened VERSION NAME[:LIFECYCLE] .. [owner=RELAY]` (the store, opened by this process, with this
+//!   list),
 //!   `endpoint-list watch-failed` (of the newest watch or of `watch=WATCH`; with `refused` at the end, a
 //!   connect to discovery was refused), `endpoint-list unchanged`,
 //!   `operator-call NUMBER readiness|metrics|drain|activate`, `configuration-reloaded PORT [KEY=VALUE]`
@@ -479,7 +480,9 @@
             },
             Effect::HandOverSession { session_id, peer, .. } => format!("hand-over {session_id} to {peer}"),
             Effect::DisconnectProcess { peer } => format!("disconnect {peer}"),
-            Effect::Persist { record, .. } => format!("persist {} {}", record.kind.label(), record.name),
+            Effect::Persist { record, .. } => {
+                format!("persist {} {}", record.kind.label(), record.name).trim_end().to_string()
+            }
             Effect::PersistVoterWrites { number, .. } => format!("persist-voter-writes {number}"),
             Effect::Membership(effect) => format!("membership {effect:?}"),
             Effect::SetTakeoverListener { .. }
