--- a/recovery/src/recover.rs
+++ b/recovery/src/recover.rs
@@ -194,7 +194,7 @@
 
     fn discard_old_removals(&mut self) {
         for (name, server) in &self.input.stored.servers {
-            if server.instance.phase == Phase::Gone && !self.is_server_trusted(server) {
+            if !self.is_server_trusted(server) {
                 self.discard(RecordKind::Server, name);
             }
         }
--- a/recovery/tests/recover.rs
+++ b/recovery/tests/recover.rs
@@ -202,8 +202,8 @@
     assert_eq!(r.obsolete, []);
 }
 
-/// Guards a relay against a start without any server, after discovery has moved and all configured servers have
-/// been removed: it uses the servers that it was told last.
+/// Guards a relay against a start without any server, after discovery has moved and all configured servers
+/// have been removed: it uses the servers that it was told last.
 #[test]
 fn stored_servers_are_used_if_no_configured_server_is_ready() {
     let known = list(7, vec![server("s", Phase::Ready, 100)]);
--- a/relay/src/reducer/finished_ids.rs
+++ b/relay/src/reducer/finished_ids.rs
@@ -4,7 +4,7 @@
 use hallrelay_balancer::types::{Idempotency, KeyScope};
 use std::collections::{HashSet, VecDeque};
 
-/// Largest number of remembered ids. Beyond it, the oldest one is forgotten.
+/// Largest number of recorded ids. Beyond it, the oldest one is evicted.
 const MAX_IDS: usize = 16_384;
 
 /// A bounded set of ids.
@@ -13,9 +13,9 @@
     ids: HashSet<u64>,
     /// The ids, the oldest one first.
     order: VecDeque<u64>,
-    /// Number of ids that were forgotten.
-    forgotten: u64,
-    /// Number of forgotten ids from which on the next line is logged.
+    /// Number of ids that were evicted.
+    evicted: u64,
+    /// Number of evicted ids from which on the next line is logged.
     next_report: u64,
 }
 
@@ -29,7 +29,7 @@
         self.order.iter().copied()
     }
 
-    /// Adds an id. The oldest one is forgotten if there are too many.
+    /// Adds an id. The oldest one is evicted if there are too many.
     fn add(&mut self, id: u64) {
         if !self.ids.insert(id) {
             return;
@@ -40,7 +40,7 @@
         }
         if let Some(oldest) = self.order.pop_front() {
             self.ids.remove(&oldest);
-            self.forgotten += 1;
+            self.evicted += 1;
         }
     }
 }
@@ -55,27 +55,27 @@
         )
     }
 
-    /// Remembers the id of a session that is removed, if the session must not repeat and may have run.
-    pub(super) fn remember_finished(&mut self, session: &Session) {
+    /// Records the id of a session that is removed, if the session must not repeat and may have run.
+    pub(super) fn record_finished(&mut self, session: &Session) {
         let may_have_run = session.may_have_run || session.stage != SessionStage::AwaitingPlacement;
         if session.must_not_repeat && may_have_run {
             self.finished_ids.add(session.client_session_id);
         }
     }
 
-    /// Remembers ids of the other process.
-    pub(super) fn remember_ids(&mut self, ids: impl IntoIterator<Item = u64>) {
+    /// Records ids of the other process.
+    pub(super) fn record_ids(&mut self, ids: impl IntoIterator<Item = u64>) {
         for id in ids {
             self.finished_ids.add(id);
         }
     }
 
-    /// Logs that ids were forgotten: at the first one, and each time that all have been replaced.
-    pub(super) fn log_forgotten_ids(&mut self, out: &mut Vec<Effect>) {
-        let forgotten = self.finished_ids.forgotten;
-        if forgotten > self.finished_ids.next_report {
+    /// Logs that ids were evicted: at the first one, and each time that all have been replaced.
+    pub(super) fn log_evicted_ids(&mut self, out: &mut Vec<Effect>) {
+        let evicted = self.finished_ids.evicted;
+        if evicted > self.finished_ids.next_report {
             self.finished_ids.next_report += MAX_IDS as u64;
-            log(format!("{forgotten} ids of ended sessions are forgotten; {MAX_IDS} are remembered"), out);
+            log(format!("{evicted} ids of ended sessions were evicted; the last {MAX_IDS} are kept"), out);
         }
     }
 }
--- a/relay/src/reducer/first_list.rs
+++ b/relay/src/reducer/first_list.rs
@@ -2,7 +2,6 @@
 //! relay from the first moment of the process, but the list of the store or the configuration may be older.
 //! The process therefore serves only after discovery's first answer, and until then neither says that it is
 //! ready nor places a session.
-use super::sessions::final_answer;
 use super::{log, Effect, Reducer, SessionStage, Timer};
 use hallrelay_balancer::types::{AdmissionRequest, Input, Micros, SessionId};
 
@@ -43,7 +42,7 @@
     /// resumed do not wait for the list.
     fn held_sessions(&self) -> Vec<SessionId> {
         let is_held = |session: &super::Session| {
-            session.stage == SessionStage::AwaitingPlacement && session.dials == 0 && !session.is_resuming
+            session.stage == SessionStage::AwaitingPlacement && !session.is_resuming
         };
         self.sessions.iter().filter(|(_, session)| is_held(session)).map(|(id, _)| *id).collect()
     }
@@ -55,14 +54,4 @@
         let request = session.request;
         self.step_balancer(Input::SessionRequested { session: session_id, request }, out);
     }
-
-    /// The final answer of a session whose deadline has passed: one that is held was never forwarded.
-    pub(super) fn answer_at_deadline(&self, session_id: SessionId) -> Effect {
-        match self.awaits_first_list {
-            true => {
-                final_answer(session_id, self.sessions.get(&session_id).map_or(0, |session| session.dials))
-            }
-            false => Effect::TearDown { session_id },
-        }
-    }
 }
--- a/relay/src/reducer/listener_ownership.rs
+++ b/relay/src/reducer/listener_ownership.rs
@@ -73,10 +73,10 @@
                     // These sessions have ended at the predecessor, which may have run them.
                     let mut ended: Vec<u64> = self.predecessor_session_ids.drain().collect();
                     ended.sort_unstable();
-                    self.remember_ids(ended);
+                    self.record_ids(ended);
                 }
             }
-            OwnershipAction::PredecessorList(list) => self.receive_process_list(&list, out),
+            OwnershipAction::PredecessorList(list) => self.receive_from_predecessor(&list, out),
             OwnershipAction::SuccessorList(list) => self.receive_from_successor(&list, out),
             OwnershipAction::Log(text) => log(text, out),
         }
@@ -118,7 +118,7 @@
     fn relay_state(&self) -> RelayState {
         let Snapshot { session_load, servers } = self.balancer.snapshot(self.now);
         RelayState {
-            endpoint_list: Some(self.list_for_process(self.encoded_list(), true)),
+            endpoint_list: Some(self.list_for_successor()),
             servers: servers.into_iter().filter_map(|known| self.server_state(known)).collect(),
             session_load,
             draining_age: self.draining_since().map(|since| self.now - since),
--- a/relay/src/reducer/mod.rs
+++ b/relay/src/reducer/mod.rs
@@ -131,6 +131,8 @@
     last_discovery_answer_at: Option<Micros>,
     /// When discovery gave the answer before the last one.
     previous_discovery_answer_at: Option<Micros>,
+    /// Whether the timer for polls of other relays runs.
+    is_polling_peers: bool,
     /// Number of endpoint lists received from other relays before discovery first answered this one.
     peer_lists_received: u32,
     /// Whether discovery had answered one of the relays that sent these lists.
@@ -168,6 +170,7 @@
             awaits_first_list: false,
             last_discovery_answer_at: None,
             previous_discovery_answer_at: None,
+            is_polling_peers: false,
             peer_lists_received: 0,
             peer_knew_discovery: false,
             removed_servers: BTreeMap::new(),
--- a/relay/src/reducer/peer_list.rs
+++ b/relay/src/reducer/peer_list.rs
@@ -31,15 +31,17 @@
 }
 
 impl Reducer {
-    /// Starts the timer after which other relays are polled, unless discovery has answered by then.
+    /// Starts the timer after which other relays are polled, unless discovery has answered by then, or the
+    /// timer of an earlier start still runs.
     pub(super) fn start_polling_peers(&mut self, out: &mut Vec<Effect>) {
-        if self.membership.is_some() {
+        if self.membership.is_some() && !std::mem::replace(&mut self.is_polling_peers, true) {
             out.push(Effect::StartTimer { after: FIRST_POLL_DELAY, timer: Timer::PollPeers });
         }
     }
 
     pub(super) fn poll_peers(&mut self, out: &mut Vec<Effect>) {
         if self.last_discovery_answer_at.is_some() || !self.ownership.is_owner() {
+            self.is_polling_peers = false;
             return;
         }
         let after = if self.peer_knew_discovery { SLOW_POLL_INTERVAL } else { POLL_INTERVAL };
@@ -49,12 +51,7 @@
 
     /// The complete endpoint list in discovery's format.
     pub(super) fn encoded_list(&self) -> Value {
-        let listed = self
-            .servers
-            .values()
-            .map(|server| &server.instance)
-            .filter(|instance| instance.phase != Phase::Gone);
-        list::encode(self.list_version.generation, true, listed)
+        list::encode(self.list_version.generation, true, self.listed_instances())
     }
 
     /// Answers another relay's poll for the list.
--- a/relay/src/reducer/persistence.rs
+++ b/relay/src/reducer/persistence.rs
@@ -126,13 +126,12 @@
     /// The servers that a complete list no longer names, marked as removed.
     fn left_out_by(&self, list: &List) -> Vec<Instance> {
         let is_named = |id: &str| list.instances.iter().any(|instance| instance.id == id);
-        let known = self.servers.values().map(|server| &server.instance);
-        let left_out = known.filter(|instance| instance.phase != Phase::Gone && !is_named(&instance.id));
+        let left_out = self.listed_instances().filter(|instance| !is_named(&instance.id));
         left_out.map(|instance| Instance { phase: Phase::Gone, ..instance.clone() }).collect()
     }
 
-    /// Stores that this dial uses a slot, if its server is in slow start, and notifies the predecessor. The dial
-    /// waits for the record, but not longer than a limit, so that a relay that crashes repeatedly stays
+    /// Stores that this dial uses a slot, if its server is in slow start, and notifies the predecessor. The
+    /// dial waits for the record, but not longer than a limit, so that a relay that crashes repeatedly stays
     /// within its rate of dials.
     pub(super) fn record_slow_start_slot_use(
         &mut self,
--- a/relay/src/reducer/process_list.rs
+++ b/relay/src/reducer/process_list.rs
@@ -14,27 +14,30 @@
 struct ProcessList {
     list: List,
     source: SocketAddr,
-    removed: Vec<RemovedServer>,
 }
 
 impl Reducer {
-    /// Adds to an encoded list of this process what the other process has to know about it.
-    /// `with_ids` adds the ids of ended sessions that must not run again.
-    pub(super) fn list_for_process(&self, mut list: Value, with_ids: bool) -> Value {
+    /// The known list as it is handed over, with what the successor has to know beyond it.
+    pub(super) fn list_for_successor(&self) -> Value {
         let removed = self
             .removed_servers
             .iter()
             .map(|(name, &started_at)| RemovedServer { name: name.clone(), started_at });
-        let source = Some(self.list_version.source.to_string());
-        let removed = removed.collect();
-        let dialled = match with_ids {
-            true => self.finished_ids.iter().collect(),
-            false => Vec::new(),
+        let extension = ListExtension {
+            removed: removed.collect(),
+            dialled: self.finished_ids.iter().collect(),
+            accepts_updates: true,
+            ..self.list_source()
         };
-        ListExtension { source, removed, dialled, accepts_updates: true, update: None }.attach(&mut list);
+        let mut list = self.encoded_list();
+        extension.attach(&mut list);
         list
     }
 
+    fn list_source(&self) -> ListExtension {
+        ListExtension { source: Some(self.list_version.source.to_string()), ..ListExtension::default() }
+    }
+
     /// Forwards a list to the other process, whose own watch may not be open: to the successor, and to a
     /// predecessor that may have to serve again.
     pub(super) fn send_list_to_processes(&mut self, list: &List, out: &mut Vec<Effect>) {
@@ -42,8 +45,8 @@
         if !has_successor && !self.ownership.updates_predecessor() {
             return;
         }
-        let list = list::encode(list.generation, list.is_complete, list.instances.iter());
-        let list = self.list_for_process(list, false);
+        let mut list = list::encode(list.generation, list.is_complete, list.instances.iter());
+        self.list_source().attach(&mut list);
         let event = match has_successor {
             true => OwnershipEvent::ListReceived { list },
             false => OwnershipEvent::PredecessorUpdated { message: Message::EndpointList { list } },
@@ -61,8 +64,9 @@
 
     /// Handles a message of the successor.
     pub(super) fn receive_from_successor(&mut self, list: &Value, out: &mut Vec<Effect>) {
-        match ListExtension::of(list).update {
-            None => self.receive_process_list(list, out),
+        let extension = ListExtension::of(list);
+        match extension.update {
+            None => self.receive_process_list(list, extension.source, out),
             Some(RelayUpdate::Excluded(excluded)) => {
                 self.exclude_backends(excluded.log_index, excluded.backends.into_iter().collect(), out);
             }
@@ -72,29 +76,33 @@
             Some(RelayUpdate::Draining(false)) => {
                 self.apply_lifecycle_event(LifecycleEvent::SuccessorActivated, out);
             }
-            Some(RelayUpdate::Dialled(id)) => self.remember_ids([id]),
+            Some(RelayUpdate::Dialled(id)) => self.record_ids([id]),
             Some(RelayUpdate::SlotUsed(server)) => {
                 self.restore_slots(&[SlowStartSlot { server, age: 0 }], out);
             }
         }
     }
 
+    /// Handles a list that the predecessor received after the handover.
+    pub(super) fn receive_from_predecessor(&mut self, list: &Value, out: &mut Vec<Effect>) {
+        self.receive_process_list(list, ListExtension::of(list).source, out);
+    }
+
     /// Parses a list of the other process; `None` if it cannot be parsed. An earlier build does not name the
     /// source, which then is this process's own.
-    fn parse_process_list(&self, value: &Value) -> Option<ProcessList> {
+    fn parse_process_list(&self, value: &Value, source: Option<String>) -> Option<ProcessList> {
         let list = list::parse(value.to_string().as_bytes()).ok()?;
-        let extension = ListExtension::of(value);
-        let source = extension.source.and_then(|source| source.parse().ok());
-        let source = source.unwrap_or(self.node.discovery);
-        Some(ProcessList { list, source, removed: extension.removed })
+        let source = source.and_then(|source| source.parse().ok()).unwrap_or(self.node.discovery);
+        Some(ProcessList { list, source })
     }
 
     /// Adopts the list that the predecessor hands over. While discovery has not answered this process, it
     /// replaces the configured list unless that is a later version from the same source. Afterwards only a
     /// later version from the same source replaces this process's own list.
     pub(super) fn adopt_predecessor_list(&mut self, list: &Value, out: &mut Vec<Effect>) {
-        self.remember_ids(ListExtension::of(list).dialled);
-        let Some(ProcessList { list, source, removed }) = self.parse_process_list(list) else { return };
+        let ListExtension { source, removed, dialled, .. } = ListExtension::of(list);
+        self.record_ids(dialled);
+        let Some(ProcessList { list, source }) = self.parse_process_list(list, source) else { return };
         let own = self.list_version.at(source);
         let is_answered = self.last_discovery_answer_at.is_some();
         if !is_answered {
@@ -119,8 +127,8 @@
     /// Handles a list that the other process received. One that is older than this process's own is ignored.
     /// Once discovery has answered this process, only the drains and removals of the list are used, as this
     /// process's own watch brings the rest.
-    pub(super) fn receive_process_list(&mut self, list: &Value, out: &mut Vec<Effect>) {
-        let Some(ProcessList { list, source, .. }) = self.parse_process_list(list) else { return };
+    fn receive_process_list(&mut self, list: &Value, source: Option<String>, out: &mut Vec<Effect>) {
+        let Some(ProcessList { list, source }) = self.parse_process_list(list, source) else { return };
         let own = self.list_version.at(source);
         if own.is_some_and(|own| own > list.generation) {
             return;
@@ -129,6 +137,11 @@
             return self.apply_drains(list, out);
         }
         self.list_version = ListVersion { source, generation: list.generation };
+        self.store_and_apply(list, out);
+    }
+
+    /// Stores and applies a list of the other process, which is not sent back to it.
+    fn store_and_apply(&mut self, list: List, out: &mut Vec<Effect>) {
         self.record_removed_servers(&list);
         self.persist_list(&list, out);
         self.apply_list(list, out);
@@ -142,10 +155,7 @@
             return;
         }
         let generation = self.list_version.generation;
-        let drains = List { generation, instances, ..List::default() };
-        self.record_removed_servers(&drains);
-        self.persist_list(&drains, out);
-        self.apply_list(drains, out);
+        self.store_and_apply(List { generation, instances, ..List::default() }, out);
     }
 
     /// Whether an entry drains or removes a server that is ready according to this process's own list.
--- a/relay/src/reducer/servers.rs
+++ b/relay/src/reducer/servers.rs
@@ -47,6 +47,11 @@
         }
     }
 
+    /// The entries of the known list.
+    pub(super) fn listed_instances(&self) -> impl Iterator<Item = &Instance> {
+        self.servers.values().map(|server| &server.instance).filter(|instance| instance.phase != Phase::Gone)
+    }
+
     /// Replaces the entries of a list that cannot be parsed by drains of their servers: such an entry may
     /// mean that the server drains, so it gets no new sessions. With a complete list that happens anyway,
     /// since the entry is missing.
--- a/relay/src/reducer/sessions.rs
+++ b/relay/src/reducer/sessions.rs
@@ -67,7 +67,7 @@
     pub(super) fn remove_session(&mut self, session_id: SessionId) -> Option<Session> {
         let session = self.sessions.remove(&session_id)?;
         self.client_session_ids.remove(&session.client_session_id);
-        self.remember_finished(&session);
+        self.record_finished(&session);
         self.add_idle_connection(session_id);
         Some(session)
     }
@@ -80,7 +80,7 @@
         time_remaining: Micros,
         out: &mut Vec<Effect>,
     ) {
-        self.log_forgotten_ids(out);
+        self.log_evicted_ids(out);
         let Some(listener) = self.valid_listener(&open, time_remaining) else {
             return self.protocol_violation(session_id, out);
         };
@@ -194,10 +194,10 @@
         out.push(Effect::Dial { session_id, dial, server: None, addr, timeout, start_within });
     }
 
-    /// Handles a deadline that passed without a final answer: the session is answered with a failure.
+    /// Handles a deadline that passed without a final answer.
     pub(super) fn deadline_expired(&mut self, session_id: SessionId, out: &mut Vec<Effect>) {
-        let answer = self.answer_at_deadline(session_id);
-        self.answer_waiting_session(session_id, answer, out);
+        let dials = self.sessions.get(&session_id).map_or(0, |session| session.dials);
+        self.answer_waiting_session(session_id, final_answer(session_id, dials), out);
     }
 
     /// Sends a waiting session the relay's own final answer. The balancer is notified, unless the session
--- a/relay/src/reducer/store_takeover.rs
+++ b/relay/src/reducer/store_takeover.rs
@@ -62,8 +62,7 @@
     }
 
     fn known_list(&self) -> List {
-        let listed = self.servers.values().map(|server| &server.instance);
-        let instances = listed.filter(|instance| instance.phase != Phase::Gone).cloned().collect();
+        let instances = self.listed_instances().cloned().collect();
         List { generation: self.list_version.generation, is_complete: true, instances, ..List::default() }
     }
 
@@ -93,7 +92,6 @@
     /// The servers whose stored entries differ from the known ones. Those that are no longer known count as
     /// removed.
     fn unstored_instances(&self, stored: &StoredState) -> Vec<Instance> {
-        let known = self.known_list().instances;
         let is_known = |id: &String| self.known_instance(id).is_some_and(|known| known.phase != Phase::Gone);
         let removed = stored
             .servers
@@ -104,8 +102,8 @@
         let is_stored = |instance: &Instance| {
             stored.servers.get(&instance.id).is_some_and(|server| server.instance == *instance)
         };
-        let removed: Vec<Instance> = removed.collect();
-        known.into_iter().filter(|instance| !is_stored(instance)).chain(removed).collect()
+        let changed = self.listed_instances().filter(|instance| !is_stored(instance)).cloned();
+        changed.chain(removed).collect()
     }
 
     fn store_missing_exclusions(&mut self, stored: &Exclusions, out: &mut Vec<Effect>) {
--- a/relay/tests/process_starts.rs
+++ b/relay/tests/process_starts.rs
@@ -211,39 +211,38 @@
     drop(new);
 }
 
+/// Completes a hot restart, kills the successor, and checks that the next process heeds the drain.
+fn drain_outlasts_kill_of_successor(fixture: &mut Fixture, mut old: RelayProcess, new: RelayProcess) {
+    old.signal("TERM");
+    wait_until("the old process exits", || old.has_exited());
+    fixture.wait_until_stored("draining");
+    kill(new);
+    let newest = fixture.start();
+    fixture.assert_drain_holds("the restart");
+    drop(newest);
+}
+
 /// Guards a drain in a store that a hot restart created, against the next start: the store had no identity,
 /// so its records were discarded.
 #[test]
 fn drain_outlasts_kill_with_store_created_by_hot_restart() {
     let mut fixture = Fixture::new("new-store");
-    let mut old = fixture.start();
+    let old = fixture.start();
     fixture.add_store();
     let new = fixture.start();
     fixture.publish_and_stop(fixture.drained());
-    old.signal("TERM");
-    wait_until("the old process exits", || old.has_exited());
-    fixture.wait_until_stored("draining");
-    kill(new);
-    let newest = fixture.start();
-    fixture.assert_drain_holds("the restart");
-    drop(newest);
+    drain_outlasts_kill_of_successor(&mut fixture, old, new);
 }
 
 /// Guards a drain of before a hot restart that created the store: only later changes were stored.
 #[test]
 fn handed_over_drain_outlasts_kill_of_successor_with_new_store() {
     let mut fixture = Fixture::new("handed-over");
-    let mut old = fixture.start();
+    let old = fixture.start();
     fixture.publish_and_stop(fixture.drained());
     fixture.add_store();
     let new = fixture.start();
-    old.signal("TERM");
-    wait_until("the old process exits", || old.has_exited());
-    fixture.wait_until_stored("draining");
-    kill(new);
-    let newest = fixture.start();
-    fixture.assert_drain_holds("the restart");
-    drop(newest);
+    drain_outlasts_kill_of_successor(&mut fixture, old, new);
 }
 
 /// Guards a drain of before the start of a process, where lists are pushed, against a discovery service that
